--- /dev/null
+++ b/cmd/hbstand/doc.go
@@ -0,0 +1,3 @@
+// Command hbstand runs one stand-in for what surrounds the router: engine,
+// service, table, object or vms.
+package main
--- /dev/null
+++ b/cmd/hbstand/main.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/vmlist"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
+)
+
+// common are the options of every stand-in.
+type common struct {
+	Listen string `long:"listen" required:"yes" description:"address to listen on, IP:port"`
+	Seed   uint64 `long:"seed" default:"1" description:"seed for shares of faults"`
+}
+
+type engineCommand struct {
+	common
+
+	Slots   int           `long:"slots" default:"8" description:"requests that generate at once"`
+	Gap     time.Duration `long:"gap" default:"20ms" description:"time from token to token"`
+	Prefill time.Duration `long:"prefill" default:"40ms" description:"time before the first token"`
+	CrashOn string        `long:"crash-on" description:"exit when a prompt contains this text"`
+}
+
+type serviceCommand struct {
+	common
+
+	Name    string        `long:"name" default:"service" description:"name in answers"`
+	Work    time.Duration `long:"work" default:"5ms" description:"time that a call takes"`
+	Journal string        `long:"journal" description:"file that lists executions"`
+}
+
+type tableCommand struct{ common }
+
+type objectCommand struct{ common }
+
+type vmsCommand struct {
+	common
+
+	File string `long:"file" description:"JSON file with the first list"`
+}
+
+func main() {
+	psr := flags.NewParser(nil, flags.Default)
+	for _, cmd := range []struct {
+		name, about string
+		data        any
+	}{
+		{"engine", "a model engine", &engineCommand{}},
+		{"service", "a plain service", &serviceCommand{}},
+		{"table", "the table service", &tableCommand{}},
+		{"object", "the object store", &objectCommand{}},
+		{"vms", "the VM list", &vmsCommand{}},
+	} {
+		if _, err := psr.AddCommand(cmd.name, cmd.about, "Runs "+cmd.about+" until it is killed.", cmd.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	if _, err := psr.Parse(); err != nil {
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var ferr *flags.Error
+	is := errors.As(err, &ferr)
+	switch {
+	case is && ferr.Type == flags.ErrHelp:
+		return 0
+	case is:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// Execute runs the engine.
+func (cmd *engineCommand) Execute([]string) (err error) {
+	swt := stand.NewSwitch(cmd.Seed)
+	opt := stand.EngineOptions{Slots: cmd.Slots, Gap: cmd.Gap, Prefill: cmd.Prefill, CrashOn: cmd.CrashOn}
+	return cmd.serve(swt, stand.NewEngine(opt, swt).Handler())
+}
+
+// Execute runs the plain service.
+func (cmd *serviceCommand) Execute([]string) (err error) {
+	defer fault.Annotate(&err, "run service")
+	var jnl *os.File
+	if cmd.Journal != "" {
+		jnl, err = os.OpenFile(cmd.Journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+	}
+	swt := stand.NewSwitch(cmd.Seed)
+	return cmd.serve(swt, stand.NewService(cmd.Name, cmd.Work, swt, jnl).Handler())
+}
+
+// Execute runs the table service.
+func (cmd *tableCommand) Execute([]string) (err error) {
+	swt := stand.NewSwitch(cmd.Seed)
+	return cmd.serve(swt, stand.NewTable(swt).Handler())
+}
+
+// Execute runs the object store.
+func (cmd *objectCommand) Execute([]string) (err error) {
+	swt := stand.NewSwitch(cmd.Seed)
+	return cmd.serve(swt, stand.NewObject(swt).Handler())
+}
+
+// Execute runs the VM list.
+func (cmd *vmsCommand) Execute([]string) (err error) {
+	defer fault.Annotate(&err, "run VM list")
+	var gps []vmlist.Group
+	if cmd.File != "" {
+		txt, err := os.ReadFile(cmd.File)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(txt, &gps); err != nil {
+			return err
+		}
+	}
+	swt := stand.NewSwitch(cmd.Seed)
+	return cmd.serve(swt, stand.NewVMs(gps, swt).Handler())
+}
+
+func (com common) serve(swt *stand.Switch, han http.Handler) error {
+	srv := &http.Server{Addr: com.Listen, Handler: han, ConnContext: swt.ConnContext, ReadHeaderTimeout: 5 * time.Second}
+	return srv.ListenAndServe()
+}
--- /dev/null
+++ b/cmd/hornbeamdyke/main.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run executes one command line and returns the exit code.
+func run(args []string, out, eout io.Writer) int {
+	psr := flags.NewNamedParser("hornbeamdyke", flags.HelpFlag|flags.PassDoubleDash)
+	psr.ShortDescription = "a router for language-model traffic"
+	for _, cmd := range commands(out) {
+		if _, err := psr.AddCommand(cmd.name, cmd.short, cmd.long, cmd.data); err != nil {
+			fmt.Fprintln(eout, err)
+			return exitFailed
+		}
+	}
+	_, err := psr.ParseArgs(args)
+	return report(err, out, eout)
+}
+
+// command is one subcommand with its help.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func commands(out io.Writer) []command {
+	return []command{
+		{"serve", "run a node", "Runs a node until it is stopped by SIGTERM, which cuts off no request.", &serveCommand{}},
+		{"check", "check settings", "Checks settings and prints every error with its position.", &checkCommand{out: out}},
+		{"show", "show a site's settings", "Prints the effective settings of a site and where each value came from.", &showCommand{out: out}},
+		{"status", "show a node's state", "Prints what a running node says of itself, its upstreams and its peers.", &statusCommand{out: out}},
+		{"version", "show the version", "Prints the version.", &versionCommand{out: out}},
+	}
+}
+
+// report prints a result and returns its exit code.
+func report(err error, out, eout io.Writer) int {
+	var ferr *flags.Error
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &ferr) && ferr.Type == flags.ErrHelp:
+		fmt.Fprintln(out, ferr.Message)
+		return exitDone
+	case errors.As(err, &ferr):
+		fmt.Fprintln(eout, ferr.Message)
+		return exitUsage
+	default:
+		fmt.Fprintln(eout, err)
+		return exitFailed
+	}
+}
+
+// document are the options that name a configuration.
+type document struct {
+	Base     string   `long:"base" value-name:"FILE" description:"configuration that all sites share"`
+	Overlays []string `long:"overlay" value-name:"FILE" description:"overlay of one site; may be repeated"`
+}
--- /dev/null
+++ b/cmd/hornbeamdyke/serve.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/logs"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/node"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+)
+
+// The environment variables with the credentials for the platform's stores.
+const (
+	envStoreKey    = "HORNBEAMDYKE_STORE_KEY"
+	envStoreSecret = "HORNBEAMDYKE_STORE_SECRET"
+)
+
+type serveCommand struct {
+	document
+
+	Node  string `long:"node" value-name:"FILE" required:"yes" description:"settings of this node"`
+	Debug bool   `long:"debug" description:"log more"`
+}
+
+// Execute runs a node.
+func (cmd *serveCommand) Execute([]string) (err error) {
+	defer fault.Annotate(&err, "serve")
+	set, err := conf.LoadNode(cmd.Node)
+	if err != nil {
+		return err
+	}
+	doc, err := conf.ReadDocument(cmd.Base, cmd.Overlays)
+	if err != nil {
+		return err
+	}
+	lvl := slog.LevelInfo
+	if cmd.Debug {
+		lvl = slog.LevelDebug
+	}
+	nod, err := node.New(node.Options{
+		Settings:    set,
+		Document:    doc,
+		Timers:      timer.Real{},
+		Log:         logs.New(os.Stderr, lvl).With("Node", set.Name),
+		Credentials: node.Credentials{Key: os.Getenv(envStoreKey), Secret: os.Getenv(envStoreSecret)},
+	})
+	if err != nil {
+		return err
+	}
+	return nod.Run()
+}
--- /dev/null
+++ b/internal/conf/query.go
@@ -0,0 +1,45 @@
+package conf
+
+import "github.com/hornbeamdyke/hornbeamdyke/internal/router"
+
+// Region returns the region of a failure domain, or "".
+func (cfg Config) Region(domain string) string {
+	for _, dom := range cfg.FailureDomains {
+		if dom.Name == domain {
+			return dom.Region
+		}
+	}
+	return ""
+}
+
+// Class returns the class of that name.
+func (cfg Config) Class(name string) (cls router.Class, found bool) {
+	for _, cls := range cfg.Classes {
+		if cls.Name == name {
+			return cls, true
+		}
+	}
+	return router.Class{}, false
+}
+
+// Pool returns the pool of that name.
+func (cfg Config) Pool(name string) (pol router.Pool, found bool) {
+	for _, pol := range cfg.Pools {
+		if pol.Name == name {
+			return pol, true
+		}
+	}
+	return router.Pool{}, false
+}
+
+// ModelPool returns the pool that serves a model.
+func (cfg Config) ModelPool(model string) (pol router.Pool, found bool) {
+	for _, pol := range cfg.Pools {
+		for _, mod := range pol.Models {
+			if mod == model {
+				return pol, true
+			}
+		}
+	}
+	return router.Pool{}, false
+}
--- /dev/null
+++ b/internal/conf/show.go
@@ -0,0 +1,81 @@
+package conf
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Value is one effective setting with where it came from.
+type Value struct {
+	Path string
+	Text string
+	// Origin is a file:line:column, or "default".
+	Origin string
+}
+
+const (
+	originDefault = "default"
+	hiddenText    = "(hidden)"
+)
+
+// Values lists the effective settings of a site in the order of the schema.
+func (sit Site) Values() (vls []Value) {
+	walkValues(reflect.ValueOf(sit.Config), "", sit.Tree, &vls)
+	return vls
+}
+
+// WriteValues prints one line for each value: path, value, origin.
+func WriteValues(out io.Writer, vls []Value) (err error) {
+	for _, val := range vls {
+		if _, err = fmt.Fprintf(out, "%s: %s  # %s\n", val.Path, val.Text, val.Origin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func walkValues(val reflect.Value, path string, tre *Tree, vls *[]Value) {
+	switch {
+	case val.Type() == durationType:
+		appendValue(path, time.Duration(val.Int()).String(), tre, vls)
+	case val.Kind() == reflect.Struct:
+		for idx := range val.NumField() {
+			nam := val.Type().Field(idx).Name
+			walkValues(val.Field(idx), join(path, nam), tre.Get(nam), vls)
+		}
+	case val.Kind() == reflect.Slice:
+		walkSlice(val, path, tre, vls)
+	default:
+		appendValue(path, fmt.Sprint(val.Interface()), tre, vls)
+	}
+}
+
+func walkSlice(val reflect.Value, path string, tre *Tree, vls *[]Value) {
+	for idx := range val.Len() {
+		var itm *Tree
+		nam := strconv.Itoa(idx)
+		if tre != nil && idx < len(tre.Items) {
+			itm = tre.Items[idx]
+			nam = elementName(itm, idx)
+		}
+		if strings.HasSuffix(path, "KeyDigests") {
+			nam = strconv.Itoa(idx)
+		}
+		walkValues(val.Index(idx), element(path, nam), itm, vls)
+	}
+}
+
+func appendValue(path, text string, tre *Tree, vls *[]Value) {
+	org := originDefault
+	if tre != nil {
+		org = tre.Position.String()
+	}
+	if strings.Contains(path, "KeyDigest") {
+		text = hiddenText
+	}
+	*vls = append(*vls, Value{Path: path, Text: text, Origin: org})
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,353 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/certs"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/vmlist"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
+)
+
+// Options are what a Fleet is started from.
+type Options struct {
+	// Example is the directory of the deployment's settings.
+	Example string
+	// Binaries is the directory of hornbeamdyke and hbstand.
+	Binaries string
+	// Work is a directory for logs, keys and journals.
+	Work string
+	// Gap and Prefill are the engines' times for a token and before the first one.
+	Gap     time.Duration
+	Prefill time.Duration
+	// ServiceWork is the time a plain service takes for a call.
+	ServiceWork time.Duration
+	// CrashOn makes engines crash on prompts that contain it.
+	CrashOn string
+	// Env is added to the nodes' environment.
+	Env []string
+	// Base replaces base.yaml of the example; empty keeps it.
+	Base string
+}
+
+// Fleet is the running processes of a deployment.
+type Fleet struct {
+	Options Options
+	Config  conf.Config
+	Nodes   []*Process
+	// Upstreams are the engines and services by name.
+	Upstreams map[string]*Process
+	Table     *Process
+	Objects   *Process
+	VMs       *Process
+	settings  []conf.Node
+}
+
+// Start starts a deployment and waits until every process is healthy.
+func Start(opt Options) (flt *Fleet, err error) {
+	defer fault.Annotate(&err, "start fleet")
+	flt = &Fleet{Options: opt, Upstreams: make(map[string]*Process)}
+	if err := flt.load(); err != nil {
+		return nil, err
+	}
+	if err := flt.prepare(); err != nil {
+		return nil, err
+	}
+	if err := startAll(flt.stands()); err != nil {
+		flt.Stop()
+		return nil, err
+	}
+	if err := startAll(flt.Nodes); err != nil {
+		flt.Stop()
+		return nil, err
+	}
+	return flt, nil
+}
+
+// Stop kills every process that the fleet started.
+func (flt *Fleet) Stop() {
+	for _, prc := range append(flt.stands(), flt.Nodes...) {
+		prc.Kill()
+	}
+}
+
+// Processes returns how many processes the fleet has.
+func (flt *Fleet) Processes() int {
+	return len(flt.stands()) + len(flt.Nodes)
+}
+
+// Control switches the faults of a stand-in.
+func Control(prc *Process, flt stand.Faults) (err error) {
+	defer fault.Annotatef(&err, "control %s", prc.Name)
+	raw, err := json.Marshal(flt)
+	if err != nil {
+		return err
+	}
+	return send(http.MethodPost, prc.URL+stand.ControlPath, raw)
+}
+
+// Executions returns what the plain services say they executed, by idempotency key.
+func (flt *Fleet) Executions() (exs map[string][]stand.Execution, err error) {
+	defer fault.Annotate(&err, "read journals")
+	exs = make(map[string][]stand.Execution)
+	for _, pol := range flt.Config.Pools {
+		if pol.Kind != router.Service {
+			continue
+		}
+		for _, ups := range pol.Upstreams {
+			if err := readJournal(flt.journal(ups.Name), exs); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return exs, nil
+}
+
+// SetVMs replaces the platform's VM list; the named VMs are leaving.
+func (flt *Fleet) SetVMs(leaving ...string) (err error) {
+	raw, err := json.Marshal(flt.vmGroups(leaving...))
+	if err != nil {
+		return err
+	}
+	return send(http.MethodPut, flt.VMs.URL+"/vms", raw)
+}
+
+func readJournal(file string, exs map[string][]stand.Execution) error {
+	raw, err := os.ReadFile(file)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	for dec.More() {
+		var exe stand.Execution
+		if err := dec.Decode(&exe); err != nil {
+			return err
+		}
+		exs[exe.Key] = append(exs[exe.Key], exe)
+	}
+	return nil
+}
+
+func send(method, url string, raw []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", res.StatusCode)
+	}
+	return nil
+}
+
+func (flt *Fleet) base() string {
+	if flt.Options.Base != "" {
+		return flt.Options.Base
+	}
+	return filepath.Join(flt.Options.Example, "base.yaml")
+}
+
+func (flt *Fleet) overlays() (fls []string) {
+	// The pattern is constant, so Glob cannot fail.
+	fls, _ = filepath.Glob(filepath.Join(flt.Options.Example, "overlays", "*.yaml"))
+	return fls
+}
+
+// load reads the base configuration and the nodes' settings.
+func (flt *Fleet) load() (err error) {
+	doc, err := conf.ReadDocument(flt.base(), nil)
+	if err != nil {
+		return err
+	}
+	sts, err := doc.Evaluate()
+	if err != nil {
+		return err
+	}
+	for _, sit := range sts {
+		flt.Config = sit.Config
+	}
+	fls, err := filepath.Glob(filepath.Join(flt.Options.Example, "nodes", "*.yaml"))
+	if err != nil {
+		return err
+	}
+	for _, fil := range fls {
+		nod, err := conf.LoadNode(fil)
+		if err != nil {
+			return err
+		}
+		flt.settings = append(flt.settings, nod)
+		flt.Nodes = append(flt.Nodes, flt.node(nod, filepath.Join(flt.Options.Work, filepath.Base(fil))))
+	}
+	return nil
+}
+
+// prepare writes keys and copies of the nodes' settings beside them, then plans the stand-ins.
+func (flt *Fleet) prepare() (err error) {
+	tls := filepath.Join(flt.Options.Work, "tls")
+	if err := os.MkdirAll(tls, 0o700); err != nil {
+		return err
+	}
+	ath, err := certs.NewAuthority()
+	if err != nil {
+		return err
+	}
+	if err := ath.Write(tls); err != nil {
+		return err
+	}
+	for _, nod := range flt.settings {
+		if err := ath.Issue(tls, nod.Name); err != nil {
+			return err
+		}
+		if err := flt.copySettings(nod.Name + ".yaml"); err != nil {
+			return err
+		}
+	}
+	return flt.planStands()
+}
+
+func (flt *Fleet) copySettings(name string) error {
+	txt, err := os.ReadFile(filepath.Join(flt.Options.Example, "nodes", name))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(flt.Options.Work, name), txt, 0o600)
+}
+
+func (flt *Fleet) planStands() error {
+	opt := flt.Options
+	for _, pol := range flt.Config.Pools {
+		for _, ups := range pol.Upstreams {
+			ars := []string{
+				"engine", "--slots", strconv.Itoa(ups.Slots), "--gap", opt.Gap.String(),
+				"--prefill", opt.Prefill.String(), "--crash-on", opt.CrashOn,
+			}
+			if pol.Kind == router.Service {
+				ars = []string{"service", "--name", ups.Name, "--work", opt.ServiceWork.String(), "--journal", flt.journal(ups.Name)}
+			}
+			flt.Upstreams[ups.Name] = flt.stand(ups.Name, ups.Address, ars...)
+		}
+	}
+	set := flt.settings[0]
+	vms := filepath.Join(opt.Work, "vms.json")
+	raw, err := json.Marshal(flt.vmGroups())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(vms, raw, 0o600); err != nil {
+		return err
+	}
+	flt.Table = flt.stand("table", set.Table.Endpoint, "table")
+	flt.Objects = flt.stand("object", set.Objects.Endpoint, "object")
+	lst, err := url.Parse(set.VMList.URL)
+	if err != nil {
+		return err
+	}
+	flt.VMs = flt.stand("vms", "http://"+lst.Host, "vms", "--file", vms)
+	return nil
+}
+
+func (flt *Fleet) vmGroups(leaving ...string) (gps []vmlist.Group) {
+	sta := make(map[string]string)
+	for _, nam := range leaving {
+		sta[nam] = vmlist.StateLeaving
+	}
+	add := func(rol, nam, adr string) {
+		lab := map[string]string{vmlist.LabelRole: rol, vmlist.LabelName: nam, vmlist.LabelState: vmlist.StateLive}
+		if val, fnd := sta[nam]; fnd {
+			lab[vmlist.LabelState] = val
+		}
+		gps = append(gps, vmlist.Group{Targets: []string{adr}, Labels: lab})
+	}
+	for _, nod := range flt.settings {
+		add(vmlist.RoleNode, nod.Name, nod.Peer)
+	}
+	for _, pol := range flt.Config.Pools {
+		for _, ups := range pol.Upstreams {
+			add(vmlist.RoleUpstream, ups.Name, hostOf(ups.Address))
+		}
+	}
+	return gps
+}
+
+func hostOf(address string) string {
+	adr, err := url.Parse(address)
+	if err != nil {
+		return address
+	}
+	return adr.Host
+}
+
+func (flt *Fleet) journal(name string) string {
+	return filepath.Join(flt.Options.Work, name+".journal")
+}
+
+func (flt *Fleet) stand(name, address string, args ...string) *Process {
+	return &Process{
+		Name:   name,
+		URL:    address,
+		health: address + stand.HealthPath,
+		binary: filepath.Join(flt.Options.Binaries, "hbstand"),
+		args:   append(args, "--listen", hostOf(address)),
+		dir:    flt.Options.Work,
+	}
+}
+
+func (flt *Fleet) node(nod conf.Node, file string) *Process {
+	ovls := flt.overlays()
+	ars := make([]string, 0, 5+2*len(ovls))
+	ars = append(ars, "serve", "--node", file, "--base", flt.base())
+	for _, ovl := range ovls {
+		ars = append(ars, "--overlay", ovl)
+	}
+	return &Process{
+		Name:   nod.Name,
+		URL:    "http://" + nod.Listen,
+		health: "http://" + nod.Listen + "/readyz",
+		binary: filepath.Join(flt.Options.Binaries, "hornbeamdyke"),
+		args:   ars,
+		dir:    flt.Options.Work,
+		env:    append([]string{"HORNBEAMDYKE_STORE_KEY=demo", "HORNBEAMDYKE_STORE_SECRET=demo"}, flt.Options.Env...),
+	}
+}
+
+func (flt *Fleet) stands() (prs []*Process) {
+	for _, prc := range flt.Upstreams {
+		prs = append(prs, prc)
+	}
+	for _, prc := range []*Process{flt.Table, flt.Objects, flt.VMs} {
+		if prc != nil {
+			prs = append(prs, prc)
+		}
+	}
+	return prs
+}
+
+func startAll(prs []*Process) error {
+	var grp errgroup.Group
+	for _, prc := range prs {
+		grp.Go(prc.Start)
+	}
+	return grp.Wait()
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,27 @@
+package logs
+
+import (
+	"io"
+	"log/slog"
+)
+
+// keys maps the handler's own keys to the project's Pascal case.
+var keys = map[string]string{
+	slog.TimeKey:    "Time",
+	slog.LevelKey:   "Level",
+	slog.MessageKey: "Message",
+	slog.SourceKey:  "Source",
+}
+
+// New returns a logger that writes JSON lines from the given level on.
+func New(out io.Writer, lvl slog.Level) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{
+		Level: lvl,
+		ReplaceAttr: func(gps []string, att slog.Attr) slog.Attr {
+			if nam, fnd := keys[att.Key]; fnd && len(gps) == 0 {
+				att.Key = nam
+			}
+			return att
+		},
+	}))
+}
--- /dev/null
+++ b/internal/query/settings.go
@@ -0,0 +1,48 @@
+package query
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+)
+
+// Check judges a configuration and, unless node is empty, a node's settings; err is conf.Errors with every fault.
+func Check(out io.Writer, base string, overlays []string, node string) (err error) {
+	if node != "" {
+		if _, err := conf.LoadNode(node); err != nil {
+			return err
+		}
+	}
+	doc, err := conf.ReadDocument(base, overlays)
+	if err != nil {
+		return err
+	}
+	sts, err := doc.Evaluate()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "ok: %d sites\n", len(sts))
+	return err
+}
+
+// Show prints a site's effective settings with the origin of each value.
+func Show(out io.Writer, base string, overlays []string, site string) (err error) {
+	defer fault.Annotate(&err, "show settings")
+	doc, err := conf.ReadDocument(base, overlays)
+	if err != nil {
+		return err
+	}
+	sts, err := doc.Evaluate()
+	if err != nil {
+		return err
+	}
+	sit, fnd := sts[site]
+	if !fnd {
+		return errors.Errorf("unknown site %q; sites are %v", site, conf.SiteNames(sts))
+	}
+	return conf.WriteValues(out, sit.Values())
+}
--- /dev/null
+++ b/internal/router/bucket/doc.go
@@ -0,0 +1,2 @@
+// Package bucket implements router.Objects by the S3 API.
+package bucket
--- /dev/null
+++ b/internal/router/errors.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Refusal is an error that a caller is told, with its HTTP status and outcome.
+type Refusal struct {
+	Status  int
+	Code    string
+	Message string
+	Outcome Outcome
+}
+
+// Error returns the code and the message.
+func (ref *Refusal) Error() string {
+	return ref.Code + ": " + ref.Message
+}
+
+// Refuse returns a Refusal of a request that was not run.
+func Refuse(status int, code, format string, args ...any) *Refusal {
+	return &Refusal{
+		Status:  status,
+		Code:    code,
+		Message: fmt.Sprintf(format, args...),
+		Outcome: NotRun,
+	}
+}
+
+// RefuseUnknown returns a Refusal of a request that may have run.
+func RefuseUnknown(code, format string, args ...any) *Refusal {
+	ref := Refuse(http.StatusBadGateway, code, format, args...)
+	ref.Outcome = Unknown
+	return ref
+}
+
+// The codes of refusals.
+const (
+	CodeInvalid       = "invalid_request"
+	CodeKey           = "invalid_api_key"
+	CodeClass         = "unknown_class"
+	CodeModel         = "model_not_found"
+	CodePool          = "pool_not_found"
+	CodeOperation     = "operation_not_found"
+	CodeTooLarge      = "request_too_large"
+	CodeRate          = "rate_limited"
+	CodeShed          = "queue_full"
+	CodeDeadline      = "deadline_exceeded"
+	CodeStopping      = "node_stopping"
+	CodeUpstream      = "upstream_failed"
+	CodeNoUpstream    = "no_upstream"
+	CodeQuarantined   = "request_quarantined"
+	CodeOrderKey      = "idempotency_key_required"
+	CodeOrderMismatch = "idempotency_key_reused"
+	CodeOrderBusy     = "order_in_progress"
+	CodeOrderUnknown  = "order_outcome_unknown"
+	CodeTable         = "table_unavailable"
+)
--- /dev/null
+++ b/internal/router/memtab/object.go
@@ -0,0 +1,38 @@
+package memtab
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+)
+
+// Objects is a router.Objects in memory.
+type Objects struct {
+	mut  sync.Mutex
+	vals map[string][]byte
+}
+
+// NewObjects returns an empty store.
+func NewObjects() *Objects {
+	return &Objects{vals: make(map[string][]byte)}
+}
+
+// Store writes an object.
+func (obj *Objects) Store(_ context.Context, key string, val []byte) (err error) {
+	obj.mut.Lock()
+	defer obj.mut.Unlock()
+	obj.vals[key] = append([]byte(nil), val...)
+	return nil
+}
+
+// Load returns an object or router.ErrMissing.
+func (obj *Objects) Load(_ context.Context, key string) (val []byte, err error) {
+	obj.mut.Lock()
+	defer obj.mut.Unlock()
+	val, fnd := obj.vals[key]
+	if !fnd {
+		return nil, router.ErrMissing
+	}
+	return val, nil
+}
--- /dev/null
+++ b/internal/router/runner/watch.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// watchPeriod is how often progress is checked.
+	watchPeriod = 100 * time.Millisecond
+	// firstTokenPatience is how much longer than between tokens an upstream may be silent before the first.
+	firstTokenPatience = 5
+)
+
+func (run *Runner) track(att *attempt) {
+	run.mut.Lock()
+	defer run.mut.Unlock()
+	run.attempts[att] = struct{}{}
+}
+
+func (run *Runner) untrack(att *attempt) {
+	run.mut.Lock()
+	defer run.mut.Unlock()
+	delete(run.attempts, att)
+}
+
+// watch starts a probe for every attempt that made no progress for too long.
+func (run *Runner) watch(now time.Time) {
+	run.mut.Lock()
+	defer run.mut.Unlock()
+	for att := range run.attempts {
+		if att.silence(now) > att.patience() && att.probing.CompareAndSwap(false, true) {
+			go att.probe()
+		}
+	}
+}
+
+func (att *attempt) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, att.last.Load()))
+}
+
+func (att *attempt) patience() time.Duration {
+	if att.first.Load() {
+		return att.runner.options.Live.Get().Policy.StallAfter
+	}
+	return firstTokenPatience * att.runner.options.Live.Get().Policy.StallAfter
+}
+
+// probe asks a silent attempt's upstream for its health on a fresh connection.
+//
+// If that answers, the older connections are retired; if not, the upstream is
+// taken for dead.
+func (att *attempt) probe() {
+	ups := att.grant.Upstream()
+	rel := att.runner.options.Relay
+	err := rel.Probe(att.context, ups)
+	if att.context.Err() != nil {
+		return
+	}
+	att.runner.options.Log.Warn("stream stalled", "Upstream", ups.Name, "Request", att.session.chat.ID, "Reachable", err == nil)
+	if err != nil {
+		att.cancel(errDead)
+		return
+	}
+	rel.Retire(ups)
+	att.cancel(errStalled)
+}
+
+// newAttempt prepares an attempt on a granted slot.
+func (ses *session) newAttempt(ctx context.Context, run *Runner, slt slot) *attempt {
+	ctx, cancel := context.WithCancelCause(ctx)
+	att := &attempt{
+		runner:  run,
+		session: ses,
+		grant:   slt.grant,
+		number:  int(ses.attempts.Add(1)),
+		context: ctx,
+		cancel:  cancel,
+		started: run.now(),
+	}
+	att.last.Store(att.started.UnixNano())
+	slt.hook.bind(cancel)
+	return att
+}
--- /dev/null
+++ b/internal/router/timer/manual.go
@@ -0,0 +1,94 @@
+package timer
+
+import (
+	"sync"
+	"time"
+)
+
+// Manual is a time service that moves only when told to.
+type Manual struct {
+	mut sync.Mutex
+	now time.Time
+	sub map[int]*subscription
+	seq int
+}
+
+type subscription struct {
+	due    time.Time
+	period time.Duration
+	fun    func(now time.Time)
+}
+
+// NewManual returns a Manual that shows the given time.
+func NewManual(now time.Time) *Manual {
+	return &Manual{now: now, sub: make(map[int]*subscription)}
+}
+
+// Now returns the time shown.
+func (man *Manual) Now() time.Time {
+	man.mut.Lock()
+	defer man.mut.Unlock()
+	return man.now
+}
+
+// Every calls fun once a period as time is advanced.
+func (man *Manual) Every(period time.Duration, fun func(now time.Time)) (stop func()) {
+	return man.subscribe(period, period, fun)
+}
+
+// After calls fun once when the delay has been passed.
+func (man *Manual) After(delay time.Duration, fun func(now time.Time)) (stop func()) {
+	return man.subscribe(delay, 0, fun)
+}
+
+// Advance moves time forward and runs what falls due, oldest first.
+func (man *Manual) Advance(step time.Duration) {
+	end := man.Now().Add(step)
+	for {
+		fun, now := man.next(end)
+		if fun == nil {
+			return
+		}
+		fun(now)
+	}
+}
+
+func (man *Manual) subscribe(delay, period time.Duration, fun func(now time.Time)) (stop func()) {
+	man.mut.Lock()
+	defer man.mut.Unlock()
+	man.seq++
+	num := man.seq
+	man.sub[num] = &subscription{due: man.now.Add(delay), period: period, fun: fun}
+	return func() {
+		man.mut.Lock()
+		defer man.mut.Unlock()
+		delete(man.sub, num)
+	}
+}
+
+// next moves time to the earliest subscription due by end, or to end itself.
+func (man *Manual) next(end time.Time) (fun func(time.Time), now time.Time) {
+	man.mut.Lock()
+	defer man.mut.Unlock()
+	best := 0
+	for num, sub := range man.sub {
+		if sub.due.After(end) {
+			continue
+		}
+		if best == 0 || sub.due.Before(man.sub[best].due) || sub.due.Equal(man.sub[best].due) && num < best {
+			best = num
+		}
+	}
+	if best == 0 {
+		man.now = end
+		return nil, end
+	}
+	sub := man.sub[best]
+	man.now = sub.due
+	if sub.period > 0 {
+		sub.due = sub.due.Add(sub.period)
+	} else {
+		delete(man.sub, best)
+	}
+	return sub.fun, man.now
+}
--- /dev/null
+++ b/internal/router/timer/real.go
@@ -0,0 +1,40 @@
+package timer
+
+import (
+	"sync"
+	"time"
+)
+
+// Real is the time service of a running node.
+type Real struct{}
+
+// Now returns the current time.
+func (Real) Now() time.Time {
+	return time.Now()
+}
+
+// Every calls fun once a period on a goroutine of its own until stop is called.
+func (Real) Every(period time.Duration, fun func(now time.Time)) (stop func()) {
+	tic := time.NewTicker(period)
+	don := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case now := <-tic.C:
+				fun(now)
+			case <-don:
+				return
+			}
+		}
+	}()
+	return sync.OnceFunc(func() {
+		tic.Stop()
+		close(don)
+	})
+}
+
+// After calls fun once after the delay unless stop is called first.
+func (Real) After(delay time.Duration, fun func(now time.Time)) (stop func()) {
+	tmr := time.AfterFunc(delay, func() { fun(time.Now()) })
+	return func() { tmr.Stop() }
+}
--- /dev/null
+++ b/internal/router/vmlist/vmlist.go
@@ -0,0 +1,77 @@
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+)
+
+// The labels and their values.
+const (
+	LabelRole    = "role"
+	LabelName    = "name"
+	LabelState   = "state"
+	StateLive    = "live"
+	StateLeaving = "leaving"
+	RoleNode     = "node"
+	RoleUpstream = "upstream"
+)
+
+const timeout = 2 * time.Second
+
+// Group is one entry of the list.
+type Group struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Client is a router.VMLister over HTTP.
+type Client struct {
+	url    string
+	client *http.Client
+}
+
+// New returns a Client of the list at a URL.
+func New(url string) *Client {
+	return &Client{url: url, client: &http.Client{Timeout: timeout}}
+}
+
+// List returns the VMs, or router.ErrUnavailable.
+func (cli *Client) List(ctx context.Context) (vms []router.VM, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, cli.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := cli.client.Do(req)
+	if err != nil {
+		return nil, errors.Join(router.ErrUnavailable, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(router.ErrUnavailable, "VM list answered %d", res.StatusCode)
+	}
+	var gps []Group
+	if err := json.NewDecoder(res.Body).Decode(&gps); err != nil {
+		return nil, errors.Join(router.ErrUnavailable, err)
+	}
+	return convert(gps), nil
+}
+
+func convert(gps []Group) (vms []router.VM) {
+	for _, grp := range gps {
+		for _, tgt := range grp.Targets {
+			vms = append(vms, router.VM{
+				Address: tgt,
+				Role:    grp.Labels[LabelRole],
+				Name:    grp.Labels[LabelName],
+				Leaving: grp.Labels[LabelState] == StateLeaving,
+			})
+		}
+	}
+	return vms
+}
