Let nodes act together: membership, slot leases, configuration revisions

Cause: nodes decided alone and knew only the files they were started with. Ruled out: random probing over QUIC, because nearly every probe would need a new connection; the ring's fingers keep a few connections open. Pushing whole revisions along the gossip: only the number is announced, and a node that is behind fetches once. Before: no message between nodes.

--- /dev/null
+++ b/cmd/hornbeamdyke/drain.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/action"
+)
+
+type drainCommand struct {
+	target
+
+	out io.Writer
+}
+
+// Execute begins a graceful stop of a node.
+func (cmd *drainCommand) Execute([]string) error {
+	return action.Drain(context.Background(), cmd.out, cmd.query())
+}
--- a/cmd/hornbeamdyke/main.go
+++ b/cmd/hornbeamdyke/main.go
@@ -46,6 +46,9 @@
 		{"check", "check settings", "Checks settings and prints every error with its position.", &checkCommand{out: out}},
 		{"show", "show a site's settings", "Prints the effective settings of a site and where each value came from.", &showCommand{out: out}},
 		{"status", "show a node's state", "Prints what a running node says of itself, its upstreams and its peers.", &statusCommand{out: out}},
+		{"apply", "apply a configuration", "Checks a configuration and makes it the next revision.", &applyCommand{out: out}},
+		{"drain", "stop a node gracefully", "Begins a graceful stop of a node; it cuts off no request.", &drainCommand{out: out}},
+		{"report", "show service-level burn", "Gathers from all live nodes how fast each class uses up its error budget.", &reportCommand{out: out}},
 		{"version", "show the version", "Prints the version.", &versionCommand{out: out}},
 	}
 }
--- /dev/null
+++ b/cmd/hornbeamdyke/report.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/query"
+)
+
+type reportCommand struct {
+	target
+
+	Format string `long:"format" choice:"text" choice:"json" choice:"html" default:"text" description:"how to write the report"`
+	out    io.Writer
+}
+
+// Execute writes the burn report of all live nodes.
+func (cmd *reportCommand) Execute([]string) error {
+	return query.Report(context.Background(), cmd.out, cmd.query(), query.Format(cmd.Format))
+}
--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	doc, err := conf.ReadDocument(cmd.Base, cmd.Overlays)
+	doc, err := cmd.read()
 	if err != nil {
 		return err
 	}
@@ -41,6 +41,7 @@
 	}
 	nod, err := node.New(node.Options{
 		Settings:    set,
+		File:        cmd.Node,
 		Document:    doc,
 		Timers:      timer.Real{},
 		Log:         logs.New(os.Stderr, lvl).With("Node", set.Name),
@@ -51,3 +52,12 @@
 	}
 	return nod.Run()
 }
+
+// read returns the configuration that the command line names, or nil when it names none.
+func (doc document) read() (res *conf.Document, err error) {
+	if doc.Base == "" {
+		return nil, nil
+	}
+	red, err := conf.ReadDocument(doc.Base, doc.Overlays)
+	return &red, err
+}
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -30,6 +30,9 @@
 	chk := &checker{tree: tre}
 	chk.name("Name", nod.Name)
 	chk.name("FailureDomain", nod.FailureDomain)
+	if nod.Peer != "" {
+		chk.name("Region", nod.Region)
+	}
 	chk.listeners(nod)
 	if nod.Peer != "" && (nod.TLS.Certificate == "" || nod.TLS.Key == "" || nod.TLS.Authority == "") {
 		chk.fail("TLS", "needs Certificate, Key and Authority when Peer is set")
@@ -276,6 +279,7 @@
 	oneOf(chk, "Policy.Queue", pcy.Queue, Tiered, Fifo)
 	oneOf(chk, "Policy.Pick", pcy.Pick, Observed, LeastInFlight, Random)
 	oneOf(chk, "Policy.Slots", pcy.Slots, Leased, Alone)
+	chk.atLeast("Policy.Subset", pcy.Subset, 1)
 	chk.atLeast("Policy.QueueLength", pcy.QueueLength, 1)
 	chk.atLeast("Policy.LongTokens", pcy.LongTokens, 1)
 	chk.atLeast("Policy.Recalls", pcy.Recalls, 0)
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -42,6 +42,8 @@
 	Queue QueuePolicy
 	Pick  PickPolicy
 	Slots SlotsPolicy
+	// Subset is the number of upstreams of one pool that a node works with.
+	Subset int
 	// QueueLength is the number of requests that may wait for one pool on one node.
 	QueueLength int
 	// LongTokens is the number of generated tokens from which a request counts as long.
@@ -108,6 +110,7 @@
 type Node struct {
 	Name          string
 	FailureDomain string
+	Region        string
 	// Listen is the address for callers.
 	Listen string
 	// Admin is the address for operators, metrics and probes.
@@ -176,6 +179,7 @@
 			Queue:          Tiered,
 			Pick:           Observed,
 			Slots:          Leased,
+			Subset:         64,
 			QueueLength:    2000,
 			LongTokens:     1000,
 			LongShare:      0.5,
--- a/internal/conf/query.go
+++ b/internal/conf/query.go
@@ -43,3 +43,23 @@
 	}
 	return router.Pool{}, false
 }
+
+// Upstream returns the upstream of that name in any pool.
+func (cfg Config) Upstream(name string) (ups router.Upstream, found bool) {
+	for _, pol := range cfg.Pools {
+		for _, ups := range pol.Upstreams {
+			if ups.Name == name {
+				return ups, true
+			}
+		}
+	}
+	return router.Upstream{}, false
+}
+
+// Minimums returns the sum of the classes' minimum shares by tier.
+func (cfg Config) Minimums() (mns [router.MaxTier + 1]float64) {
+	for _, cls := range cfg.Classes {
+		mns[cls.Tier] += cls.MinimumShare
+	}
+	return mns
+}
--- a/internal/router/admin/admin.go
+++ b/internal/router/admin/admin.go
@@ -1,14 +1,17 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"net/http"
 	"strings"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/burn"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/entry"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/sched"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
 // Prefix is the root of the operators' API.
@@ -34,13 +37,32 @@
 	State         string
 	Incarnation   uint64
 	Revision      uint64
-	Admin         string
+	// Admin is the address of the member's operators' API.
+	Admin string
+}
+
+// URL returns the base URL of the member's operators' API.
+func (mem Member) URL() string {
+	if strings.Contains(mem.Admin, "://") {
+		return mem.Admin
+	}
+	return "http://" + mem.Admin
 }
 
 // Node is what the API needs of the node it serves.
 type Node interface {
 	// Status describes the node.
 	Status() Status
+	// Configuration returns the revision in force, or nil when files are.
+	Configuration() *wire.Revision
+	// History returns up to limit revisions, the newest first, or router.ErrUnavailable.
+	History(ctx context.Context, limit int) (rvs []*wire.Revision, err error)
+	// Accept makes a change the next revision after base and returns its number.
+	//
+	// The error is conf.Errors, a *revise.Conflict, revise.ErrUncertain or router.ErrUnavailable.
+	Accept(ctx context.Context, rev *wire.Revision, base uint64) (num uint64, err error)
+	// Burn returns how the node's requests met their objectives.
+	Burn() burn.Report
 	// Drain begins a graceful stop.
 	Drain()
 }
--- a/internal/router/admin/command.go
+++ b/internal/router/admin/command.go
@@ -7,6 +7,9 @@
 )
 
 func (api *API) commands(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+Prefix+"/configuration", api.allow(api.configure, conf.Editor))
+	mux.HandleFunc("PUT "+Prefix+"/workspaces/{name}", api.allow(api.setWorkspace, conf.Editor))
+	mux.HandleFunc("DELETE "+Prefix+"/workspaces/{name}", api.allow(api.deleteWorkspace, conf.Editor))
 	mux.HandleFunc("POST "+Prefix+"/drain", api.allow(api.drain, conf.Editor))
 }
 
--- a/internal/router/entry/entry.go
+++ b/internal/router/entry/entry.go
@@ -30,6 +30,8 @@
 	Observe func(obs meter.Observation)
 	// Ready reports whether the node takes traffic.
 	Ready func() bool
+	// Settle waits until the node has the configuration that is in force, if it was paused.
+	Settle func(ctx context.Context)
 }
 
 // Entry is the callers' API of one node.
@@ -94,6 +96,7 @@
 	return func(wri http.ResponseWriter, req *http.Request) {
 		ent.active.Add(1)
 		defer ent.active.Add(-1)
+		ent.options.Settle(req.Context())
 		vis := &visit{id: uuid.NewString(), state: ent.state.Load(), request: req, writer: wri, arrived: ent.options.Timers.Now()}
 		wri.Header().Set(router.HeaderNode, ent.options.Node)
 		wri.Header().Set(router.HeaderRequest, vis.id)
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/admin"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/bucket"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/burn"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/dynamo"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/entry"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
@@ -21,16 +22,20 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/meter"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/order"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/relay"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/revise"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/runner"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/sched"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/slots"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
 // Options are what a Node is built from.
 type Options struct {
 	Settings conf.Node
-	// Document is the configuration to begin with; it may be empty when the table service has one.
-	Document conf.Document
+	// File is the path of the settings; key files are named relative to it.
+	File string
+	// Document is the configuration in force while the table service has no revision; nil for none.
+	Document *conf.Document
 	Timers   router.Timers
 	Log      *slog.Logger
 	// Credentials are the key and the secret for the platform's stores.
@@ -57,7 +62,12 @@
 	runner    *runner.Runner
 	entry     *entry.Entry
 	admin     *admin.API
-	closers   []func()
+	recorder  *burn.Recorder
+	store     *revise.Store
+	follower  *revise.Follower
+	// peers is nil when the node runs without others.
+	peers   *peers
+	closers []func()
 
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -67,35 +77,45 @@
 	site atomic.Pointer[conf.Site]
 }
 
-// New builds a node and puts its first configuration in force.
+// New builds a node; it becomes ready only when Run finds a configuration.
 func New(opt Options) (nod *Node, err error) {
 	defer fault.Annotate(&err, "build node")
 	nod = &Node{
-		options: opt,
-		live:    conf.NewLive(conf.DefaultConfig()),
-		meter:   meter.New(opt.Settings.Name),
-		gate:    limit.NewGate(),
-		alone:   slots.NewAlone(),
-		drain:   make(chan struct{}),
+		options:  opt,
+		live:     conf.NewLive(conf.DefaultConfig()),
+		meter:    meter.New(opt.Settings.Name),
+		gate:     limit.NewGate(),
+		alone:    slots.NewAlone(opt.Settings.Name),
+		recorder: burn.NewRecorder(opt.Timers, opt.Settings.FailureDomain),
+		drain:    make(chan struct{}),
 	}
-	sit, err := nod.evaluate(opt.Document)
-	if err != nil {
-		return nil, err
+	if opt.Document != nil {
+		sit, err := nod.evaluate(*opt.Document)
+		if err != nil {
+			return nil, err
+		}
+		// Policies that are chosen once are taken from here; nothing is served by it yet.
+		nod.live.Set(sit.Config)
 	}
-	nod.live.Set(sit.Config)
-	nod.build()
-	nod.install(sit)
-	nod.ready.Store(true)
+	tab := nod.table()
+	nod.store = revise.NewStore(tab)
+	if opt.Settings.Peer != "" {
+		nod.peers, err = newPeers(nod, opt.File)
+		if err != nil {
+			return nil, err
+		}
+	}
+	nod.build(tab)
 	return nod, nil
 }
 
 // build makes the parts, innermost first.
-func (nod *Node) build() {
+func (nod *Node) build(tab router.Table) {
 	set := nod.options.Settings
 	nod.scheduler = sched.New(sched.Options{
 		Timers: nod.options.Timers,
 		Live:   nod.live,
-		Limits: nod.alone,
+		Limits: nod.limits(),
 		Remote: nod.remote,
 		Seed:   uint64(uuid.New().ID()),
 	})
@@ -104,7 +124,7 @@
 	nod.relay = relay.New(nod.live.Get().Policy.ConnectTimeout)
 	nod.ledger = order.NewLedger(order.Options{
 		Timers:  nod.options.Timers,
-		Table:   nod.table(),
+		Table:   tab,
 		Objects: nod.objects(),
 		Log:     nod.options.Log,
 		Live:    nod.live,
@@ -120,14 +140,22 @@
 		Node:      set.Name,
 		Strike:    nod.strike,
 	})
+	nod.follower = revise.NewFollower(revise.FollowOptions{
+		Timers:  nod.options.Timers,
+		Store:   nod.store,
+		Peers:   nod.revisionPeers(),
+		Log:     nod.options.Log,
+		Install: nod.installRevision,
+	})
 	nod.entry = entry.New(entry.Options{
 		Timers:  nod.options.Timers,
 		Gate:    nod.gate,
 		Runner:  nod.runner,
 		Log:     nod.options.Log,
 		Node:    set.Name,
-		Observe: nod.meter.Observe,
+		Observe: nod.observe,
 		Ready:   nod.Ready,
+		Settle:  nod.follower.Settle,
 	})
 	nod.admin = admin.New(admin.Options{
 		Live:    nod.live,
@@ -155,22 +183,80 @@
 	return admin.Status{
 		Node:          set.Name,
 		FailureDomain: set.FailureDomain,
-		Region:        nod.live.Get().Region(set.FailureDomain),
+		Region:        set.Region,
 		Ready:         nod.Ready(),
 		Stopping:      nod.stopping.Load(),
+		Revision:      nod.follower.Number(),
 		Active:        nod.entry.Active(),
+		Members:       nod.members(),
 		Upstreams:     nod.scheduler.Status(),
 	}
 }
 
+// members returns the nodes that this one knows, itself included.
+func (nod *Node) members() (mms []admin.Member) {
+	if nod.peers == nil {
+		return nil
+	}
+	for _, mem := range nod.peers.view.All() {
+		mms = append(mms, admin.Member{
+			Name:          mem.GetName(),
+			FailureDomain: mem.GetFailureDomain(),
+			State:         stateName(mem.GetState()),
+			Incarnation:   mem.GetIncarnation(),
+			Revision:      mem.GetRevision(),
+			Admin:         mem.GetAdmin(),
+		})
+	}
+	return mms
+}
+
+// stateName returns a member's state in the project's Pascal case.
+func stateName(sta wire.MemberState) string {
+	switch sta {
+	case wire.MemberState_MEMBER_STATE_LIVE:
+		return "Live"
+	case wire.MemberState_MEMBER_STATE_SUSPECT:
+		return "Suspect"
+	case wire.MemberState_MEMBER_STATE_LEAVING:
+		return "Leaving"
+	default:
+		return "Dead"
+	}
+}
+
+// limits returns how slots are divided; a node without peers has them all.
+func (nod *Node) limits() router.Limits {
+	if nod.peers == nil || nod.live.Get().Policy.Slots == conf.Alone {
+		return nod.alone
+	}
+	return nod.peers.leased
+}
+
+func (nod *Node) revisionPeers() revise.Peers {
+	if nod.peers == nil {
+		return solitary{}
+	}
+	return nod.peers
+}
+
+func (nod *Node) observe(obs meter.Observation) {
+	nod.meter.Observe(obs)
+	nod.recorder.Observe(obs)
+}
+
 func (nod *Node) remote(domain string) bool {
 	cfg := nod.live.Get()
 	return cfg.Region(domain) != cfg.Region(nod.options.Settings.FailureDomain)
 }
 
 func (nod *Node) strike(stk guard.Strike) {
-	if nod.guard.Add(stk) {
-		nod.meter.Event("strike")
+	if !nod.guard.Add(stk) {
+		return
+	}
+	nod.meter.Event("strike")
+	if nod.peers != nil {
+		nod.peers.strike(stk)
 	}
 }
 
--- a/internal/router/node/serve.go
+++ b/internal/router/node/serve.go
@@ -30,6 +30,8 @@
 	}
 	nod.addSignals(&grp)
 	nod.addStop(&grp, cal)
+	nod.addPeers(&grp)
+	nod.addConfig(&grp)
 	nod.addVMList(&grp)
 	nod.options.Log.Info("node started", "Node", nod.options.Settings.Name, "Listen", nod.options.Settings.Listen)
 	err = grp.Run()
@@ -89,6 +91,20 @@
 	})
 }
 
+// addPeers answers other nodes, if there are any.
+func (nod *Node) addPeers(grp *run.Group) {
+	if nod.peers == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	grp.Add(func() error {
+		defer nod.peers.gossip.Start()()
+		return nod.peers.endpoint.Serve(ctx)
+	}, func(error) {
+		cancel()
+	})
+}
+
 // addStop carries out a planned stop once a drain begins.
 func (nod *Node) addStop(grp *run.Group, cal *http.Server) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,6 +116,9 @@
 		}
 		nod.stopping.Store(true)
 		nod.options.Log.Info("node stopping", "Active", nod.entry.Active())
+		if nod.peers != nil {
+			nod.peers.leave(ctx)
+		}
 		nod.pause(ctx, nod.live.Get().Limits.StopDelay)
 		if err := cal.Shutdown(ctx); err != nil {
 			return err
--- a/internal/router/node/vms.go
+++ b/internal/router/node/vms.go
@@ -38,15 +38,18 @@
 		return
 	}
 	lev := make(map[string]bool)
-	nds := 0
+	var nms, adrs []string
 	for _, one := range vms {
+		lev[one.Address] = lev[one.Address] || one.Leaving
 		if one.Role == vmlist.RoleNode && !one.Leaving {
-			nds++
+			nms = append(nms, one.Name)
+			adrs = append(adrs, one.Address)
 		}
-		lev[one.Address] = lev[one.Address] || one.Leaving
 	}
-	if nds > 0 {
-		nod.setNodes(nds)
+	if nod.peers != nil {
+		nod.peers.setListed(adrs)
+	} else if len(nms) > 0 {
+		nod.setNodes(nms)
 	}
 	for _, pol := range nod.live.Get().Pools {
 		for _, ups := range pol.Upstreams {
@@ -55,10 +58,10 @@
 	}
 }
 
-// setNodes tells the parts how many live nodes share the limits.
-func (nod *Node) setNodes(num int) {
-	nod.alone.SetNodes(num)
-	nod.gate.SetNodes(num)
+// setNodes tells the parts which live nodes share the limits.
+func (nod *Node) setNodes(nms []string) {
+	nod.alone.SetNodes(nms)
+	nod.gate.SetNodes(len(nms))
 }
 
 func hostPort(address string) string {
