Add a load tool that compares the policy with its baselines

Cause: nothing measured the decisions. Ruled out: closed-loop load, which slows down with the system and hides waiting.

--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,182 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fleet"
+)
+
+const (
+	// drainTime is how long callers wait for answers after the last arrival.
+	drainTime = 10 * time.Second
+	// tick is the step by which arrivals are planned.
+	tick = time.Millisecond
+	// keyPrefix and a workspace's name make the workspace's key in the examples.
+	keyPrefix = "demo-key-of-"
+	// maxInFlight bounds the callers of one run.
+	maxInFlight = 8000
+)
+
+// Run drives a fleet through a scenario and returns what every caller saw.
+func Run(flt *fleet.Fleet, scn Scenario, seed uint64) (rsl Result, err error) {
+	defer fault.Annotatef(&err, "scenario %s seed %d", scn.Name, seed)
+	drv := newDriver(flt, scn, seed)
+	before, err := generated(flt)
+	if err != nil {
+		return Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), scn.Length+drainTime)
+	defer cancel()
+	drv.caller.begin = time.Now()
+	for _, one := range scn.Faults {
+		time.AfterFunc(one.At, func() { drv.fail(one.Do(flt)) })
+	}
+	drv.arrive(ctx)
+	drv.callers.Wait()
+	if drv.err != nil {
+		return Result{}, drv.err
+	}
+	after, err := generated(flt)
+	if err != nil {
+		return Result{}, err
+	}
+	return drv.result(after - before), nil
+}
+
+// driver sends the requests of one run.
+type driver struct {
+	fleet    *fleet.Fleet
+	scenario Scenario
+	seed     uint64
+	rnd      *rand.Rand
+	kinds    []Kind
+	caller   *caller
+	capacity float64
+	callers  sync.WaitGroup
+	slots    chan struct{}
+	sent     int
+
+	mut     sync.Mutex
+	samples []Sample
+	err     error
+}
+
+func newDriver(flt *fleet.Fleet, scn Scenario, seed uint64) *driver {
+	pol := flt.Config.Pools[0]
+	sum := 0
+	for _, ups := range pol.Upstreams {
+		sum += ups.Slots
+	}
+	return &driver{
+		fleet:    flt,
+		scenario: scn,
+		seed:     seed,
+		rnd:      rand.New(rand.NewPCG(seed, seed)),
+		kinds:    Kinds(flt.Config.Classes),
+		caller: &caller{
+			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+			key:    keyPrefix + flt.Config.Workspaces[0].Name,
+			model:  pol.Models[0],
+		},
+		capacity: float64(sum),
+		slots:    make(chan struct{}, maxInFlight),
+	}
+}
+
+// arrive starts callers as an open loop until the scenario's end.
+func (drv *driver) arrive(ctx context.Context) {
+	long := drv.scenario.Long
+	due := make([]float64, len(drv.kinds))
+	tic := time.NewTicker(tick)
+	defer tic.Stop()
+	last := time.Duration(0)
+	for now := range tic.C {
+		at := now.Sub(drv.caller.begin)
+		if at > drv.scenario.Length {
+			return
+		}
+		for idx, knd := range drv.kinds {
+			due[idx] += drv.rate(knd, at) * (at - last).Seconds()
+			for ; due[idx] > 0; due[idx] -= drv.rnd.ExpFloat64() {
+				tks := knd.length(drv.rnd)
+				if idx == len(drv.kinds)-1 && long > 0 {
+					long--
+					tks = LongFactor * knd.Tokens / 10
+				}
+				drv.start(ctx, knd, tks)
+			}
+		}
+		last = at
+	}
+}
+
+// rate returns the arrivals a second at which a class uses its share of the slots' time.
+func (drv *driver) rate(knd Kind, at time.Duration) float64 {
+	hld := drv.fleet.Options.Prefill + time.Duration(knd.Tokens)*drv.fleet.Options.Gap
+	return drv.scenario.Factor(at, knd) * knd.Share * drv.capacity / hld.Seconds()
+}
+
+func (drv *driver) start(ctx context.Context, knd Kind, tokens int) {
+	select {
+	case drv.slots <- struct{}{}:
+	default:
+		return
+	}
+	drv.sent++
+	txt := prompt(drv.seed, drv.sent, tokens)
+	url := drv.fleet.Nodes[drv.sent%len(drv.fleet.Nodes)].URL
+	drv.callers.Go(func() {
+		smp := drv.caller.ask(ctx, url, knd.Class, txt)
+		<-drv.slots
+		drv.mut.Lock()
+		defer drv.mut.Unlock()
+		drv.samples = append(drv.samples, smp)
+	})
+}
+
+func (drv *driver) fail(err error) {
+	drv.mut.Lock()
+	defer drv.mut.Unlock()
+	if err != nil && drv.err == nil {
+		drv.err = err
+	}
+}
+
+// generated adds up the tokens that the engines say they made; an engine that was killed counts from zero.
+func generated(flt *fleet.Fleet) (sum float64, err error) {
+	defer fault.Annotate(&err, "read engine metrics")
+	for _, ups := range flt.Config.Pools[0].Upstreams {
+		num, err := tokensOf(flt.Upstreams[ups.Name].URL)
+		if err != nil {
+			continue
+		}
+		sum += num
+	}
+	return sum, nil
+}
+
+func tokensOf(url string) (num float64, err error) {
+	cli := &http.Client{Timeout: 2 * drainTime}
+	res, err := cli.Get(url + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	psr := expfmt.NewTextParser(model.UTF8Validation)
+	fms, err := psr.TextToMetricFamilies(res.Body)
+	if err != nil {
+		return 0, err
+	}
+	for _, met := range fms["vllm:generation_tokens_total"].GetMetric() {
+		num += met.GetCounter().GetValue()
+	}
+	return num, nil
+}
