Report each waiting request to one home only

Cause: a waiting request was rounded up to one slot on every upstream of its pool, so one waiting preview had up to twelve drafts recalled.

--- a/internal/load/page.go
+++ b/internal/load/page.go
@@ -20,8 +20,8 @@
 
 // Print writes one result as text.
 func Print(out io.Writer, rsl Result) {
-	fmt.Fprintf(out, "%s %s seed %d: goodput %.3f wasted %.4f wrong %d longest starvation %.1f s\n",
-		rsl.Scenario, rsl.Policy, rsl.Seed, rsl.Goodput, rsl.Wasted, rsl.Wrong, rsl.LongestStarvation)
+	fmt.Fprintf(out, "%s %s seed %d: goodput %.3f wasted %.4f cancelled %d wrong %d longest starvation %.1f s\n",
+		rsl.Scenario, rsl.Policy, rsl.Seed, rsl.Goodput, rsl.Wasted, rsl.Cancelled, rsl.Wrong, rsl.LongestStarvation)
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(tab, "class\tsent\tmet %\trefused\tunknown\tfirst p50 ms\tp99\tworst\tgap p99\t")
 	for _, cls := range rsl.Classes {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -17,6 +17,8 @@
 	Goodput float64
 	// Wasted is the share of made tokens that no caller got.
 	Wasted float64
+	// Cancelled counts the streams that engines were told to stop, by recalls and hedges.
+	Cancelled int
 	// Wrong counts answers that ended as whole and were not the ones their prompts must produce.
 	Wrong int
 	// LongestStarvation is the longest time in seconds in which some class with callers waiting had no token.
@@ -41,8 +43,8 @@
 	digits      = 3
 )
 
-func (drv *driver) result(made float64) (rsl Result) {
-	rsl = Result{Scenario: drv.scenario.Name, Seed: drv.seed}
+func (drv *driver) result(made, cancelled float64) (rsl Result) {
+	rsl = Result{Scenario: drv.scenario.Name, Seed: drv.seed, Cancelled: int(cancelled)}
 	got := 0
 	for _, smp := range drv.samples {
 		got += smp.Tokens
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
@@ -29,10 +30,7 @@
 func Run(flt *fleet.Fleet, scn Scenario, seed uint64) (rsl Result, err error) {
 	defer fault.Annotatef(&err, "scenario %s seed %d", scn.Name, seed)
 	drv := newDriver(flt, scn, seed)
-	before, err := generated(flt)
-	if err != nil {
-		return Result{}, err
-	}
+	before := readEngines(flt)
 	ctx, cancel := context.WithTimeout(context.Background(), scn.Length+drainTime)
 	defer cancel()
 	drv.caller.begin = time.Now()
@@ -44,11 +42,8 @@
 	if drv.err != nil {
 		return Result{}, drv.err
 	}
-	after, err := generated(flt)
-	if err != nil {
-		return Result{}, err
-	}
-	return drv.result(after - before), nil
+	after := readEngines(flt)
+	return drv.result(after.tokens-before.tokens, after.cancelled-before.cancelled), nil
 }
 
 // driver sends the requests of one run.
@@ -151,33 +146,38 @@
 	}
 }
 
-// generated adds up the tokens that the engines say they made; an engine that was killed counts from zero.
-func generated(flt *fleet.Fleet) (sum float64, err error) {
-	defer fault.Annotate(&err, "read engine metrics")
+// engineCounts is what the engines say they did.
+type engineCounts struct {
+	tokens, cancelled float64
+}
+
+// readEngines adds up the engines' counts; an engine that was killed does not count.
+func readEngines(flt *fleet.Fleet) (sum engineCounts) {
 	for _, ups := range flt.Config.Pools[0].Upstreams {
-		num, err := tokensOf(flt.Upstreams[ups.Name].URL)
+		fms, err := metrics(flt.Upstreams[ups.Name].URL)
 		if err != nil {
 			continue
 		}
-		sum += num
+		sum.tokens += counter(fms, "vllm:generation_tokens_total")
+		sum.cancelled += counter(fms, "hbstand_cancelled_total")
 	}
-	return sum, nil
+	return sum
 }
 
-func tokensOf(url string) (num float64, err error) {
-	cli := &http.Client{Timeout: 2 * drainTime}
+func metrics(url string) (fms map[string]*dto.MetricFamily, err error) {
+	cli := &http.Client{Timeout: drainTime}
 	res, err := cli.Get(url + "/metrics")
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer res.Body.Close()
 	psr := expfmt.NewTextParser(model.UTF8Validation)
-	fms, err := psr.TextToMetricFamilies(res.Body)
-	if err != nil {
-		return 0, err
-	}
-	for _, met := range fms["vllm:generation_tokens_total"].GetMetric() {
-		num += met.GetCounter().GetValue()
+	return psr.TextToMetricFamilies(res.Body)
+}
+
+func counter(fms map[string]*dto.MetricFamily, name string) (sum float64) {
+	for _, met := range fms[name].GetMetric() {
+		sum += met.GetCounter().GetValue()
 	}
-	return num, nil
+	return sum
 }
--- a/internal/router/slots/alone.go
+++ b/internal/router/slots/alone.go
@@ -92,9 +92,6 @@
 
 // Subset returns the size upstreams that a node works with: those of its own region first, in rendezvous order.
 func Subset(self string, ups []router.Upstream, remote func(domain string) bool, size int) (res []router.Upstream) {
-	if len(ups) <= size {
-		return ups
-	}
 	res = append(res, ups...)
 	sort.SliceStable(res, func(one, two int) bool {
 		rmo, rmt := remote(res[one].FailureDomain), remote(res[two].FailureDomain)
@@ -103,7 +100,7 @@
 		}
 		return weight(self, res[one].Name) > weight(self, res[two].Name)
 	})
-	return res[:size]
+	return res[:min(size, len(res))]
 }
 
 func weight(key, name string) uint64 {
--- a/internal/router/slots/leased.go
+++ b/internal/router/slots/leased.go
@@ -48,7 +48,9 @@
 	// upstreams are the configured upstreams by name, and pools their pools.
 	upstreams map[string]router.Upstream
 	pools     map[string]string
-	sizes     map[string]int
+	// orders are the places of the upstreams in this node's rendezvous order of their pool.
+	orders map[string]int
+	sizes  map[string]int
 	leases    map[string]lease
 	leaving   atomic.Bool
 	// short wakes the reporter; it has a buffer of one.
@@ -69,6 +71,7 @@
 		self:      self,
 		upstreams: make(map[string]router.Upstream),
 		pools:     make(map[string]string),
+		orders:    make(map[string]int),
 		sizes:     make(map[string]int),
 		leases:    make(map[string]lease),
 		short:     make(chan struct{}, 1),
@@ -82,9 +85,13 @@
 	lsd.source = src
 	lsd.upstreams = make(map[string]router.Upstream)
 	lsd.pools = make(map[string]string)
+	lsd.orders = make(map[string]int)
 	lsd.sizes = make(map[string]int)
 	for _, pol := range pls {
 		lsd.sizes[pol.Name] = len(pol.Upstreams)
+		for plc, ups := range Subset(lsd.self, pol.Upstreams, func(string) bool { return false }, len(pol.Upstreams)) {
+			lsd.orders[ups.Name] = plc
+		}
 		for _, ups := range pol.Upstreams {
 			lsd.upstreams[ups.Name] = ups
 			lsd.pools[ups.Name] = pol.Name
@@ -213,7 +220,7 @@
 func (lsd *Leased) add(rps map[string]*wire.SlotReport, dmd router.Demand, name string, held router.TierCounts) {
 	lsd.mut.RLock()
 	ups, fnd := lsd.upstreams[name]
-	size := lsd.sizes[dmd.Pool]
+	size, plc := lsd.sizes[dmd.Pool], lsd.orders[name]
 	lsd.mut.RUnlock()
 	if !fnd {
 		return
@@ -229,8 +236,8 @@
 	}
 	rep.Demands = append(rep.Demands, &wire.SlotDemand{
 		Upstream: name,
-		Held:     toWire(held, 1),
-		Waiting:  toWire(dmd.Waiting, size),
+		Held:     toWire(held),
+		Waiting:  toWire(part(dmd.Waiting, plc, size)),
 		Limit:    uint32(lsd.Limit(ups)),
 	})
 }
@@ -246,12 +253,21 @@
 	}
 }
 
-// toWire returns counts divided between a number of upstreams, rounded up.
-func toWire(tcs router.TierCounts, parts int) (nms []uint32) {
-	parts = max(1, parts)
+// part returns one upstream's part of what waits for a pool; the parts of all places add up to the whole.
+func part(whole router.TierCounts, place, size int) (prt router.TierCounts) {
+	for tier, num := range whole {
+		prt[tier] = num / size
+		if place < num%size {
+			prt[tier]++
+		}
+	}
+	return prt
+}
+
+func toWire(tcs router.TierCounts) (nms []uint32) {
 	nms = make([]uint32, len(tcs))
 	for idx, num := range tcs {
-		nms[idx] = uint32((num + parts - 1) / parts)
+		nms[idx] = uint32(num)
 	}
 	return nms
 }
