Keep slots with the holder that uses them among equals

Cause: the home dealt a tier's slots evenly whatever was held, so drafts of one node were recalled to run drafts of another.

--- a/internal/router/slots/divide.go
+++ b/internal/router/slots/divide.go
@@ -18,35 +18,38 @@
 // Divide shares an upstream's slots between holders and returns a limit for each, in their order.
 //
 // Each tier that has demand first gets up to its minimum; then the tiers are
-// served in order, each holder in turn; what is left over is spread evenly. The
-// limits add up to the slots if any holder stays.
+// served in order, each holder in turn; what is left over is spread evenly. Within
+// a tier, what is held goes before what waits, because moving a slot between
+// equals recalls one request to run another. The limits add up to the slots if
+// any holder stays.
 func Divide(slots int, nds []Need, minimums [router.MaxTier + 1]float64) (lms []int) {
 	lms = make([]int, len(nds))
 	if len(nds) == 0 {
 		return lms
 	}
 	left := slots
-	want := wants(nds)
-	for tier := range want {
+	held, waiting := wants(nds)
+	for tier := range held {
 		kept := min(left, int(minimums[tier]*float64(slots)))
-		left -= kept - deal(kept, want[tier], lms)
+		left -= kept - deal(deal(kept, held[tier], lms), waiting[tier], lms)
 	}
-	for tier := range want {
-		left = deal(left, want[tier], lms)
+	for tier := range held {
+		left = deal(left, held[tier], lms)
+		left = deal(left, waiting[tier], lms)
 	}
 	spread(left, nds, lms)
 	return lms
 }
 
-// wants returns the demand of each tier by holder.
-func wants(nds []Need) (wts [router.MaxTier + 1][]int) {
-	for tier := range wts {
-		wts[tier] = make([]int, len(nds))
-		for idx, one := range nds {
-			wts[tier][idx] = one.Held[tier] + one.Waiting[tier]
+// wants returns what the holders have and what they wait for, by tier and holder.
+func wants(nds []Need) (held, waiting [router.MaxTier + 1][]int) {
+	for tier := range held {
+		for _, one := range nds {
+			held[tier] = append(held[tier], one.Held[tier])
+			waiting[tier] = append(waiting[tier], one.Waiting[tier])
 		}
 	}
-	return wts
+	return held, waiting
 }
 
 // deal gives out slots one at a time in turn, up to what each holder wants, and returns what is left.
--- a/internal/router/slots/leased.go
+++ b/internal/router/slots/leased.go
@@ -49,10 +49,10 @@
 	upstreams map[string]router.Upstream
 	pools     map[string]string
 	// orders are the places of the upstreams in this node's rendezvous order of their pool.
-	orders map[string]int
-	sizes  map[string]int
-	leases    map[string]lease
-	leaving   atomic.Bool
+	orders  map[string]int
+	sizes   map[string]int
+	leases  map[string]lease
+	leaving atomic.Bool
 	// short wakes the reporter; it has a buffer of one.
 	short chan struct{}
 }
