Wait for part of the target before recalling a draft

Cause: a request recalled a draft the moment it found no slot, though slots come free by themselves every few tens of milliseconds; each recall costs a prefill.

--- a/internal/router/iface.go
+++ b/internal/router/iface.go
@@ -131,8 +131,8 @@
 	Resize(slots int, now time.Time)
 	// Len returns the number of entries.
 	Len() int
-	// Best returns the highest tier that waits, or MaxTier+1 when nothing does.
-	Best() (tier int)
+	// Best returns the oldest entry of the highest tier that waits, or nil when nothing does or tiers do not count.
+	Best() (ent *Waiting)
 }
 
 // Waiting is a queued Ask.
@@ -168,8 +168,8 @@
 type Limits interface {
 	// Limit returns how many requests this node may have in flight on an upstream now.
 	Limit(ups Upstream) (slots int)
-	// Short reports that a request of the tier waits in a pool for want of slots.
-	Short(pool string, tier int)
+	// Short reports that a request waits for want of slots.
+	Short()
 }
 
 // Demand is what a node holds of and wants from one pool.
--- a/internal/router/queue/fifo.go
+++ b/internal/router/queue/fifo.go
@@ -63,7 +63,7 @@
 	return len(ffo.entries)
 }
 
-// Best returns MaxTier+1: no entry of a Fifo is worth a recall.
-func (ffo *Fifo) Best() (tier int) {
-	return router.MaxTier + 1
+// Best returns nil: no entry of a Fifo is worth a recall.
+func (ffo *Fifo) Best() (ent *router.Waiting) {
+	return nil
 }
--- a/internal/router/queue/tiered.go
+++ b/internal/router/queue/tiered.go
@@ -95,15 +95,14 @@
 	return len(trd.entries)
 }
 
-// Best returns the highest tier that waits, or MaxTier+1 when nothing does.
-func (trd *Tiered) Best() (tier int) {
-	tier = router.MaxTier + 1
-	for _, lan := range trd.lanes {
-		if lan.waiting.Len() > 0 {
-			tier = min(tier, lan.class.Tier)
+// Best returns the oldest entry of the highest tier that waits, or nil when nothing does.
+func (trd *Tiered) Best() (ent *router.Waiting) {
+	for tier := range router.MaxTier + 1 {
+		if lan := trd.oldestLane(tier, nil); lan != nil {
+			return waiting(lan.waiting.Front())
 		}
 	}
-	return tier
+	return nil
 }
 
 // lane returns the lane of a class, and takes over a changed definition of it.
--- a/internal/router/sched/pool.go
+++ b/internal/router/sched/pool.go
@@ -92,8 +92,8 @@
 		ent.Ready <- pol.start(ent, ups, now)
 	}
 	if pol.queue.Len() > 0 {
-		pol.recall()
-		pol.scheduler.options.Limits.Short(pol.name, min(pol.queue.Best(), router.MaxTier))
+		pol.recall(now)
+		pol.scheduler.options.Limits.Short()
 	}
 }
 
--- a/internal/router/sched/recall.go
+++ b/internal/router/sched/recall.go
@@ -2,18 +2,24 @@
 
 import (
 	"math"
-
-	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"time"
 )
 
+// recallPart is the part of a class's target that a request waits for a slot to come free before one is recalled.
+const recallPart = 8
+
 // recall asks slots back from lower tiers, one for each waiting request of a higher one.
-func (pol *pool) recall() {
+//
+// A recall costs the engine another prefill, and slots come free by themselves
+// all the time, so the oldest request first waits for a part of its target.
+func (pol *pool) recall(now time.Time) {
 	bst := pol.queue.Best()
-	if bst > router.MaxTier {
+	if bst == nil || now.Sub(bst.Ask.Arrived) < bst.Ask.Class.FirstToken/recallPart {
 		return
 	}
-	for pol.recalls < pol.waiting[bst] {
-		vic := pol.victim(bst)
+	tier := bst.Ask.Class.Tier
+	for pol.recalls < pol.waiting[tier] {
+		vic := pol.victim(tier)
 		if vic == nil {
 			return
 		}
--- a/internal/router/slots/alone.go
+++ b/internal/router/slots/alone.go
@@ -51,7 +51,7 @@
 }
 
 // Short does nothing.
-func (aln *Alone) Short(string, int) {}
+func (aln *Alone) Short() {}
 
 // FairShare returns a node's part of an upstream's slots, so that all parts add up to the slots.
 //
--- a/internal/router/slots/leased.go
+++ b/internal/router/slots/leased.go
@@ -111,7 +111,7 @@
 }
 
 // Short wakes the reporter, because a request waits for want of slots.
-func (lsd *Leased) Short(string, int) {
+func (lsd *Leased) Short() {
 	select {
 	case lsd.short <- struct{}{}:
 	default:
