--- a/internal/router/meter/meter.go
+++ b/internal/router/meter/meter.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -56,9 +58,16 @@
 // latencyBuckets are the bounds of the first-token histogram.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 
-// New returns a Meter whose metrics carry the node's name.
-func New(node string) *Meter {
-	rep := prometheus.NewReporter(prometheus.Options{})
+// New returns a Meter whose metrics carry the node's name; a metric that cannot be registered is logged and left out.
+func New(node string, log *slog.Logger) *Meter {
+	reg := prom.NewRegistry()
+	rep := prometheus.NewReporter(prometheus.Options{
+		Registerer: reg,
+		Gatherer:   reg,
+		OnRegisterError: func(err error) {
+			log.Error("metric not registered", "Error", err.Error())
+		},
+	})
 	scp, clo := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "hornbeamdyke",
 		Tags:            map[string]string{"node": node},
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -83,7 +83,7 @@
 	nod = &Node{
 		options:  opt,
 		live:     conf.NewLive(conf.DefaultConfig()),
-		meter:    meter.New(opt.Settings.Name),
+		meter:    meter.New(opt.Settings.Name, opt.Log),
 		gate:     limit.NewGate(),
 		alone:    slots.NewAlone(opt.Settings.Name),
 		recorder: burn.NewRecorder(opt.Timers, opt.Settings.FailureDomain),
--- /dev/null
+++ b/internal/router/queue/queue_test.go
@@ -0,0 +1,132 @@
+package queue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/queue"
+)
+
+var (
+	begin   = time.Unix(1000, 0)
+	preview = router.Class{Name: "preview", Tier: 0, MinimumShare: 0.2}
+	draft   = router.Class{Name: "draft", Tier: 3, MinimumShare: 0.25}
+)
+
+func entry(cls router.Class, at time.Duration) *router.Waiting {
+	return &router.Waiting{Ask: router.Ask{Class: cls, Arrived: begin.Add(at)}}
+}
+
+func always(*router.Waiting) bool { return true }
+
+func TestShedding(t *testing.T) {
+	for name, tst := range map[string]struct {
+		queue router.Queue
+		push  []*router.Waiting
+		// shed is the index of the entry that the last push displaces, or -1.
+		shed int
+	}{
+		"the newest of the lowest tier goes": {
+			queue: queue.NewTiered(2),
+			push:  []*router.Waiting{entry(draft, 0), entry(draft, 1), entry(preview, 2)},
+			shed:  1,
+		},
+		"a draft is refused itself": {
+			queue: queue.NewTiered(2),
+			push:  []*router.Waiting{entry(preview, 0), entry(preview, 1), entry(draft, 2)},
+			shed:  2,
+		},
+		"a started draft is kept": {
+			queue: queue.NewTiered(1),
+			push:  []*router.Waiting{started(draft, 0), entry(preview, 1)},
+			shed:  1,
+		},
+		"first in first out sheds the newest": {
+			queue: queue.NewFifo(1),
+			push:  []*router.Waiting{entry(draft, 0), entry(preview, 1)},
+			shed:  1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got *router.Waiting
+			for _, ent := range tst.push {
+				got = tst.queue.Push(ent)
+			}
+			if got != tst.push[tst.shed] {
+				t.Fatalf("shed %+v", got)
+			}
+		})
+	}
+}
+
+func started(cls router.Class, at time.Duration) *router.Waiting {
+	ent := entry(cls, at)
+	ent.Ask.Started = true
+	return ent
+}
+
+// TestMinimumShare lets previews wait all the time and counts the slot time that drafts get.
+func TestMinimumShare(t *testing.T) {
+	const slots, steps = 8, 4000
+	que := queue.NewTiered(1 << 20)
+	que.Resize(slots, begin)
+	type run struct {
+		cls router.Class
+		end int
+	}
+	var running []run
+	held := make(map[string]int)
+	for step := range steps {
+		now := begin.Add(time.Duration(step) * 10 * time.Millisecond)
+		que.Push(entry(preview, time.Duration(step)))
+		que.Push(entry(draft, time.Duration(step)))
+		kept := running[:0]
+		for _, one := range running {
+			if one.end > step {
+				kept = append(kept, one)
+				continue
+			}
+			que.Hold(one.cls, -1, now)
+		}
+		running = kept
+		for len(running) < slots {
+			ent := que.Pop(now, always)
+			if ent == nil {
+				break
+			}
+			que.Hold(ent.Ask.Class, 1, now)
+			// Drafts run ten times as long as previews.
+			length := 10
+			if ent.Ask.Class.Name == draft.Name {
+				length = 100
+			}
+			running = append(running, run{ent.Ask.Class, step + length})
+		}
+		for _, one := range running {
+			held[one.cls.Name]++
+		}
+	}
+	share := float64(held[draft.Name]) / float64(held[draft.Name]+held[preview.Name])
+	if share < 0.15 || share > 0.35 {
+		t.Fatalf("drafts held %.2f of the slot time, their minimum is %.2f", share, draft.MinimumShare)
+	}
+}
+
+func TestTierOrder(t *testing.T) {
+	que := queue.NewTiered(10)
+	que.Resize(4, begin)
+	que.Push(entry(draft, 0))
+	que.Push(entry(preview, 2))
+	que.Push(entry(preview, 1))
+	if got := que.Best(); got.Ask.Class.Tier != 0 {
+		t.Fatalf("best is %+v", got)
+	}
+	var got []time.Duration
+	for ent := que.Pop(begin, always); ent != nil; ent = que.Pop(begin, always) {
+		got = append(got, ent.Ask.Arrived.Sub(begin))
+	}
+	if len(got) != 3 || got[0] != 1 || got[1] != 2 || got[2] != 0 {
+		t.Fatalf("order %v", got)
+	}
+}
