--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,13 @@
 format-check:
 	$(TOOL) golangci-lint fmt --diff ./...
 
+faults: build
+	$(BIN)/hbfault --binaries $(BIN)
+
+measure: build
+	$(BIN)/hbload --binaries $(BIN) --example examples/kameeldoring --seed 1 --seed 2 --seed 3 --out docs/measure/kameeldoring
+	$(BIN)/hbload --binaries $(BIN) --example examples/tolbooth --seed 1 --seed 2 --seed 3 --out docs/measure/tolbooth
+
 spec:
 	./spec/run
 
--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -17,6 +17,9 @@
 	envStoreSecret = "HORNBEAMDYKE_STORE_SECRET"
 )
 
+// envUnprotected is the environment variable by which failure runs remove the claim of orders.
+const envUnprotected = "HORNBEAMDYKE_TEST_UNPROTECTED"
+
 type serveCommand struct {
 	document
 
@@ -45,6 +48,7 @@
 		Document:    doc,
 		Timers:      timer.Real{},
 		Log:         logs.New(os.Stderr, lvl).With("Node", set.Name),
+		Unprotected: os.Getenv(envUnprotected) != "",
 		Credentials: node.Credentials{Key: os.Getenv(envStoreKey), Secret: os.Getenv(envStoreSecret)},
 	})
 	if err != nil {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -38,6 +38,8 @@
 	Document *conf.Document
 	Timers   router.Timers
 	Log      *slog.Logger
+	// Unprotected removes the claim of orders; failure runs use it to show what the claim prevents.
+	Unprotected bool
 	// Credentials are the key and the secret for the platform's stores.
 	Credentials Credentials
 }
@@ -128,6 +130,8 @@
 		Objects: nod.objects(),
 		Log:     nod.options.Log,
 		Live:    nod.live,
+
+		Unprotected: nod.options.Unprotected,
 	})
 	nod.runner = runner.New(runner.Options{
 		Timers:    nod.options.Timers,
--- a/internal/router/node/path_test.go
+++ b/internal/router/node/path_test.go
@@ -319,6 +319,21 @@
 	}
 }
 
+// TestSilentLookup makes the open connections to a service fall silent between two lookups.
+func TestSilentLookup(t *testing.T) {
+	pth := newPath(t, quick, 1, nil)
+	for range 2 {
+		ans := pth.send(http.MethodGet, "/services/shop/stock", nil, nil)
+		if ans.outcome != router.Ran {
+			t.Fatalf("outcome %s: %s", ans.outcome, ans.body)
+		}
+		pth.switches[1].Set(stand.Faults{SilenceOld: true})
+	}
+	if got := pth.calls.Load(); got != 3 {
+		t.Fatalf("%d calls, want 3: one of them on a silent connection", got)
+	}
+}
+
 // TestRecall fills the only slot with a draft; a preview takes it, and both answers are whole.
 func TestRecall(t *testing.T) {
 	pth := newPath(t, stand.EngineOptions{Slots: 1, Gap: 5 * time.Millisecond, Prefill: time.Millisecond}, 1, nil)
--- a/internal/router/pick/pick.go
+++ b/internal/router/pick/pick.go
@@ -32,13 +32,8 @@
 type LeastInFlight struct{}
 
 // Pick returns the index of the candidate with the fewest requests in flight.
-func (LeastInFlight) Pick(_ router.Ask, can []router.Candidate) (idx int) {
-	for num, one := range can {
-		if one.InFlight < can[idx].InFlight {
-			idx = num
-		}
-	}
-	return idx
+func (LeastInFlight) Pick(ask router.Ask, can []router.Candidate) (idx int) {
+	return lowest(ask, can, func(one router.Candidate) float64 { return float64(one.InFlight) })
 }
 
 // Observed picks by the node's own observation of speed, by load and by distance.
@@ -64,7 +59,16 @@
 			return idx
 		}
 	}
-	for num := range can {
+	return lowest(ask, can, score)
+}
+
+// lowest returns the index of the candidate with the lowest score; among equals the request decides, so that
+// nodes do not all choose the same one.
+func lowest(ask router.Ask, can []router.Candidate, score func(router.Candidate) float64) (idx int) {
+	first := int(xxhash.Sum64String(ask.Request) % uint64(len(can)))
+	idx = first
+	for off := range can {
+		num := (first + off) % len(can)
 		if score(can[num]) < score(can[idx]) {
 			idx = num
 		}
--- /dev/null
+++ b/internal/router/pick/pick_test.go
@@ -0,0 +1,63 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/pick"
+)
+
+func candidate(num, inFlight int, slow float64, remote bool) router.Candidate {
+	ups := router.Upstream{Name: fmt.Sprint("u", num), Slots: 8}
+	return router.Candidate{Upstream: ups, InFlight: inFlight, Limit: 8, Slowdown: slow, Remote: remote}
+}
+
+func TestObserved(t *testing.T) {
+	for name, tst := range map[string]struct {
+		can  []router.Candidate
+		want int
+	}{
+		"less loaded":          {[]router.Candidate{candidate(0, 3, 1, false), candidate(1, 1, 1, false)}, 1},
+		"faster, if more load": {[]router.Candidate{candidate(0, 0, 10, false), candidate(1, 6, 1, false)}, 1},
+		"near, if more load":   {[]router.Candidate{candidate(0, 0, 1, true), candidate(1, 7, 1, false)}, 1},
+		"far, if near is slow": {[]router.Candidate{candidate(0, 0, 1, true), candidate(1, 0, 10, false)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := (pick.Observed{}).Pick(router.Ask{Request: name}, tst.can); got != tst.want {
+				t.Fatalf("picked %d, want %d", got, tst.want)
+			}
+		})
+	}
+}
+
+func TestEqualsAreSpread(t *testing.T) {
+	can := []router.Candidate{candidate(0, 0, 1, false), candidate(1, 0, 1, false), candidate(2, 0, 1, false)}
+	for name, pck := range map[string]router.Picker{"Observed": pick.Observed{}, "LeastInFlight": pick.LeastInFlight{}, "Random": pick.NewRandom(1)} {
+		seen := make(map[int]int)
+		for num := range 300 {
+			seen[pck.Pick(router.Ask{Request: fmt.Sprint("request-", num)}, can)]++
+		}
+		for idx := range can {
+			if seen[idx] < 50 {
+				t.Fatalf("%s picked %v", name, seen)
+			}
+		}
+	}
+}
+
+// TestAffinityIsBounded sends every request with one prefix: they share an upstream until it is loaded above the mean.
+func TestAffinityIsBounded(t *testing.T) {
+	can := []router.Candidate{candidate(0, 0, 1, false), candidate(1, 0, 1, false), candidate(2, 0, 1, false), candidate(3, 0, 1, false)}
+	ask := router.Ask{Request: "r", Affinity: 42}
+	fst := (pick.Observed{}).Pick(ask, can)
+	for range 30 {
+		idx := (pick.Observed{}).Pick(ask, can)
+		can[idx].InFlight++
+	}
+	for idx := range can {
+		if can[idx].InFlight > 10 || can[fst].InFlight < can[idx].InFlight {
+			t.Fatalf("first choice %d, in flight %+v", fst, can)
+		}
+	}
+}
--- a/internal/router/runner/service.go
+++ b/internal/router/runner/service.go
@@ -42,12 +42,13 @@
 // repeat sends an idempotent call until an upstream answers or the budgets are spent.
 func (run *Runner) repeat(ctx context.Context, ask router.Ask, cal relay.Call) (ans *router.Answer, err error) {
 	ask.Avoid = make(map[string]bool)
+	losses := 0
 	for {
 		grt, err := run.options.Scheduler.Acquire(ctx, ask)
 		if err != nil {
 			return nil, startedOutcome(err, ask.Started)
 		}
-		snt := run.once(ctx, grt, cal)
+		snt := run.watched(ctx, grt, cal, ask.Class)
 		if snt.Err == nil {
 			return snt.Answer, nil
 		}
@@ -56,8 +57,12 @@
 		}
 		ups := grt.Upstream().Name
 		run.options.Log.Warn("call failed", "Request", ask.Request, "Upstream", ups, "Error", snt.Err.Error())
-		ask.Avoid[ups] = true
 		ask.Started = ask.Started || !snt.Unsent
+		silent := errors.Is(snt.Err, relay.ErrRetired)
+		ask.Avoid[ups] = !silent
+		if losses++; silent && losses <= maxLosses {
+			continue
+		}
 		if !run.retry(ask.Workspace, ask.Pool) {
 			ref := router.Refuse(http.StatusBadGateway, router.CodeUpstream, "upstream %s failed: %v", ups, snt.Err)
 			return nil, startedOutcome(ref, ask.Started)
@@ -65,6 +70,23 @@
 	}
 }
 
+// watched is once for a call that may be sent again: when no answer comes for
+// too long and a fresh connection works, the upstream's connections are retired.
+func (run *Runner) watched(ctx context.Context, grt router.Grant, cal relay.Call, cls router.Class) order.Sent {
+	ups := grt.Upstream()
+	pat := max(run.options.Live.Get().Policy.StallAfter, 2*cls.FirstToken)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := run.options.Timers.After(pat, func(time.Time) {
+		if run.options.Relay.Probe(ctx, ups) == nil && ctx.Err() == nil {
+			run.options.Log.Warn("call stalled", "Upstream", ups.Name)
+			run.options.Relay.Retire(ups)
+		}
+	})
+	defer stop()
+	return run.once(ctx, grt, cal)
+}
+
 // once sends a call on a granted slot, reads the whole answer and returns the slot.
 func (run *Runner) once(ctx context.Context, grt router.Grant, cal relay.Call) (snt order.Sent) {
 	beg := run.now()
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -12,16 +12,15 @@
 	"time"
 )
 
-// JudgePath lists what a Service executed.
-const JudgePath = "/judge"
-
 // Execution is one call that a Service executed.
 type Execution struct {
-	Key    string
-	Method string
-	Path   string
-	Digest string
-	At     time.Time
+	Service string
+	// Request is the router's identifier of the call.
+	Request string
+	Key     string
+	Path    string
+	Digest  string
+	At      time.Time
 }
 
 // Service is a stand-in for a plain service; it executes whatever it is sent.
@@ -31,7 +30,6 @@
 	faults  *Switch
 	journal *os.File
 	mut     sync.Mutex
-	done    []Execution
 }
 
 // NewService returns a Service that works for a time on each call, and appends executions to the journal unless it is nil.
@@ -39,12 +37,9 @@
 	return &Service{name: name, work: work, faults: swt, journal: journal}
 }
 
-// Handler serves every path as a call, and JudgePath.
+// Handler serves every path as a call.
 func (srv *Service) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+JudgePath, srv.judge)
-	mux.HandleFunc("/", srv.call)
-	return srv.faults.Wrap(mux)
+	return srv.faults.Wrap(http.HandlerFunc(srv.call))
 }
 
 func (srv *Service) call(wri http.ResponseWriter, req *http.Request) {
@@ -54,11 +49,12 @@
 	}
 	sum := sha256.Sum256(bdy)
 	exe := Execution{
-		Key:    req.Header.Get("Idempotency-Key"),
-		Method: req.Method,
-		Path:   req.URL.Path,
-		Digest: hex.EncodeToString(sum[:]),
-		At:     time.Now(),
+		Service: srv.name,
+		Request: req.Header.Get("Hornbeamdyke-Request"),
+		Key:     req.Header.Get("Idempotency-Key"),
+		Path:    req.URL.Path,
+		Digest:  hex.EncodeToString(sum[:]),
+		At:      time.Now(),
 	}
 	srv.record(exe)
 	pause(req.Context(), srv.faults.Stretch(srv.work))
@@ -77,18 +73,10 @@
 func (srv *Service) record(exe Execution) {
 	srv.mut.Lock()
 	defer srv.mut.Unlock()
-	srv.done = append(srv.done, exe)
-	if srv.journal != nil {
-		if err := json.NewEncoder(srv.journal).Encode(exe); err != nil {
-			panic(err)
-		}
-	}
-}
-
-func (srv *Service) judge(wri http.ResponseWriter, _ *http.Request) {
-	srv.mut.Lock()
-	defer srv.mut.Unlock()
-	if err := json.NewEncoder(wri).Encode(srv.done); err != nil {
+	if srv.journal == nil {
 		return
 	}
+	if err := json.NewEncoder(srv.journal).Encode(exe); err != nil {
+		panic(err)
+	}
 }
