Measure what a node's control work costs by the size of the deployment

Cause: docs/CAPACITY.md needs slopes. Ruled out: estimates from message sizes alone; they miss what is passed on again. Before: none.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 	$(BIN)/hbload --binaries $(BIN) --example examples/kameeldoring --seed 1 --seed 2 --seed 3 --out docs/measure/kameeldoring
 	$(BIN)/hbload --binaries $(BIN) --example examples/tolbooth --seed 1 --seed 2 --seed 3 --out docs/measure/tolbooth
 
+bench: build
+	$(BIN)/hbbench --binaries $(BIN)
+
 spec:
 	./spec/run
 
--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,290 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/burn"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/gossip"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/member"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/memtab"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/meter"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/order"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/slots"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+const (
+	regions          = 7
+	domainsPerRegion = 4
+	gossipRounds     = 60
+	calls            = 2000
+)
+
+// Control measures everything that nodes do besides carrying requests.
+func Control() (sls []Slope, err error) {
+	sls = append(sls, Members(), Decisions(), Reports(), Burn())
+	cfg, err := Configurations()
+	if err != nil {
+		return nil, err
+	}
+	ord, err := Orders()
+	if err != nil {
+		return nil, err
+	}
+	return append(sls, cfg, ord), nil
+}
+
+// network carries probes between the gossips of one process and counts them.
+type network struct {
+	nodes    map[string]*gossip.Gossip
+	messages atomic.Int64
+	bytes    atomic.Int64
+}
+
+// Call delivers a probe in memory.
+func (net *network) Call(ctx context.Context, address string, req *wire.Request) (rep *wire.Reply, err error) {
+	rep = &wire.Reply{Body: &wire.Reply_Probe{Probe: net.nodes[address].Answer(ctx, req.GetProbe())}}
+	net.messages.Add(2)
+	net.bytes.Add(int64(proto.Size(req) + proto.Size(rep)))
+	return rep, nil
+}
+
+// Members measures membership by the number of nodes, with one node in 300 replaced each minute.
+func Members() (slp Slope) {
+	slp = Slope{Name: "Membership", Unit: "nodes", Columns: []string{"messages/s/node", "payload B/s/node", "CPU us/s/node", "state KB/node"}}
+	for _, size := range []int{50, 150, 300, 600} {
+		slp.Points = append(slp.Points, Point{Size: float64(size), Figures: members(size)})
+	}
+	return slp
+}
+
+func members(size int) []float64 {
+	tms := timer.NewManual(time.Unix(1_000_000, 0))
+	net := &network{nodes: make(map[string]*gossip.Gossip)}
+	var vws []*member.View
+	var all []*wire.Member
+	for idx := range size {
+		all = append(all, &wire.Member{
+			Name:          fmt.Sprintf("node-%04d", idx),
+			Incarnation:   1,
+			State:         wire.MemberState_MEMBER_STATE_LIVE,
+			Peer:          fmt.Sprintf("10.0.%d.%d:7946", idx/250, idx%250),
+			Admin:         fmt.Sprintf("10.0.%d.%d:9100", idx/250, idx%250),
+			Region:        fmt.Sprint("region-", idx%regions),
+			FailureDomain: fmt.Sprintf("domain-%d-%d", idx%regions, idx/regions%domainsPerRegion),
+		})
+	}
+	before := heap()
+	for idx, mem := range all {
+		vie := member.NewView(mem, tms.Now())
+		vie.Merge(all, tms.Now())
+		vws = append(vws, vie)
+		gos := gossip.New(gossip.Options{
+			Timers: tms, View: vie, Caller: net, Log: slog.New(slog.DiscardHandler), Seed: uint64(idx),
+			Seeds: func() []string { return nil }, Changed: func() {}, Heard: func(*wire.Member) {},
+		})
+		net.nodes[mem.GetPeer()] = gos
+	}
+	state := (heap() - before) / float64(size) / 1e3
+	var stops []func()
+	for _, gos := range net.nodes {
+		stops = append(stops, gos.Start())
+	}
+	beg := cpu()
+	for rnd := range gossipRounds {
+		if rnd%max(1, 60*300/size/5) == 0 {
+			replaced := proto.CloneOf(all[rnd%size])
+			replaced.Incarnation += uint64(rnd) + 1
+			vws[(rnd+1)%size].Merge([]*wire.Member{replaced}, tms.Now())
+		}
+		tms.Advance(gossip.Period)
+		settle(net)
+	}
+	use := cpu() - beg
+	for _, stop := range stops {
+		stop()
+	}
+	per := float64(size * gossipRounds)
+	return []float64{
+		float64(net.messages.Load()) / per,
+		float64(net.bytes.Load()) / per,
+		float64(use.Microseconds()) / per,
+		state,
+	}
+}
+
+// settle waits until no more messages are counted.
+func settle(net *network) {
+	for last := int64(-1); last != net.messages.Load(); {
+		last = net.messages.Load()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Decisions measures a home's division by the number of holders of an upstream.
+func Decisions() (slp Slope) {
+	slp = Slope{Name: "Slot decision at a home", Unit: "holders", Columns: []string{"CPU us/report", "state B/upstream"}}
+	for _, size := range []int{4, 8, 16, 32} {
+		tms := timer.NewManual(time.Unix(1_000_000, 0))
+		before := heap()
+		hom := slots.NewHome(tms, func(string, []*wire.SlotLimit) {})
+		const upstreams = 100
+		report := func(idx int) {
+			ups := router.Upstream{Name: fmt.Sprint("upstream-", idx/size%upstreams), Slots: 8}
+			shr := slots.Share{Upstream: ups, Fair: func(string) int { return 1 }}
+			dmd := &wire.SlotDemand{Held: []uint32{1, 0, 0, 1, 0}, Waiting: []uint32{uint32(idx % 3), 0, 0, 1, 0}, Limit: 1}
+			hom.Report(fmt.Sprint("node-", idx%size), false, dmd, shr)
+		}
+		for idx := range size * upstreams {
+			report(idx)
+		}
+		tms.Advance(slots.LeaseLife)
+		state := (heap() - before) / upstreams
+		slp.Points = append(slp.Points, Point{Size: float64(size), Figures: []float64{perCall(size*upstreams*5, report), state}})
+	}
+	return slp
+}
+
+// Reports measures a holder's report by the number of upstreams that it works with.
+func Reports() (slp Slope) {
+	slp = Slope{Name: "Slot report of a holder", Unit: "upstreams", Columns: []string{"request B", "reply B", "encode CPU us"}}
+	for _, size := range []int{8, 16, 32, 64} {
+		rep, lms := &wire.SlotReport{Node: "node-0001"}, &wire.SlotLimits{Home: "node-0002"}
+		for idx := range size {
+			nam := fmt.Sprintf("layout-model-%05d", idx)
+			rep.Demands = append(rep.Demands, &wire.SlotDemand{Upstream: nam, Held: []uint32{1, 1, 0, 2, 0}, Waiting: make([]uint32, 5), Limit: 4})
+			lms.Limits = append(lms.Limits, &wire.SlotLimit{Upstream: nam, Limit: 4, LifeMs: 2000, Tier: 4})
+		}
+		enc := perCall(calls, func(int) {
+			raw, err := proto.Marshal(rep)
+			if err == nil {
+				err = proto.Unmarshal(raw, &wire.SlotReport{})
+			}
+			if err != nil {
+				panic(err)
+			}
+		})
+		slp.Points = append(slp.Points, Point{Size: float64(size), Figures: []float64{float64(proto.Size(rep)), float64(proto.Size(lms)), enc}})
+	}
+	return slp
+}
+
+// Burn measures the recorder by the number of series, each a class of a workspace.
+func Burn() (slp Slope) {
+	slp = Slope{Name: "Burn recorder", Unit: "series", Columns: []string{"state KB", "CPU us/request", "report CPU ms"}}
+	for _, size := range []int{100, 500, 1000, 2600} {
+		before := heap()
+		rec := burn.NewRecorder(timer.Real{}, "here")
+		observe := func(idx int) {
+			rec.Observe(meter.Observation{
+				Workspace: fmt.Sprint("workspace-", idx%size/5), Status: 200, Outcome: router.Ran, FirstToken: time.Millisecond,
+				Class: router.Class{Name: fmt.Sprint("class-", idx%5), Objective: 0.99, FirstToken: time.Second},
+			})
+		}
+		for idx := range size {
+			observe(idx)
+		}
+		state := (heap() - before) / 1e3
+		slp.Points = append(slp.Points, Point{Size: float64(size), Figures: []float64{
+			state,
+			perCall(20*calls, observe),
+			perCall(10, func(int) { rec.Report("n") }) / 1e3,
+		}})
+	}
+	return slp
+}
+
+// Configurations measures putting a revision in force by the number of workspaces.
+func Configurations() (slp Slope, err error) {
+	slp = Slope{Name: "Configuration revision", Unit: "workspaces", Columns: []string{"text KB", "evaluate CPU ms"}}
+	for _, size := range []int{65, 130, 260, 520} {
+		txt := settings(size)
+		doc := conf.Document{Base: conf.Source{File: "base.yaml", Text: txt}}
+		if _, err := doc.Evaluate(); err != nil {
+			return Slope{}, err
+		}
+		use := perCall(5, func(int) {
+			if _, err := doc.Evaluate(); err != nil {
+				panic(err)
+			}
+		})
+		slp.Points = append(slp.Points, Point{Size: float64(size), Figures: []float64{float64(len(txt)) / 1e3, use / 1e3}})
+	}
+	return slp, nil
+}
+
+func settings(workspaces int) string {
+	txt := `Deployment: large
+FailureDomains: [{Name: here, Region: home}]
+Classes: [{Name: c, Tier: 0, FirstToken: 1s, Objective: 0.9, MinimumShare: 0.1}]
+Pools: [{Name: p, Kind: Engine, Models: [m], Upstreams: [{Name: u, FailureDomain: here, Address: "http://127.0.0.1:1", Slots: 8}]}]
+Workspaces:
+`
+	for idx := range workspaces {
+		txt += fmt.Sprintf("  - {Name: workspace-%04d, KeyDigests: [%064x], RequestRate: 100, Burst: 200, InFlight: 100, Classes: [c]}\n", idx, idx)
+	}
+	return txt
+}
+
+// Orders measures the order protocol by the size of the answer.
+func Orders() (slp Slope, err error) {
+	slp = Slope{Name: "Order", Unit: "answer KB", Columns: []string{"CPU us/order", "row B", "reads", "writes"}}
+	for _, size := range []int{1, 4, 16, 60} {
+		tab := &countingTable{Table: memtab.NewTable()}
+		led := order.NewLedger(order.Options{
+			Timers: timer.Real{}, Table: tab, Objects: memtab.NewObjects(),
+			Log: slog.New(slog.DiscardHandler), Live: conf.NewLive(conf.DefaultConfig()),
+		})
+		ans := &router.Answer{Status: 200, Body: make([]byte, size*1000)}
+		use := perCall(calls, func(idx int) {
+			att := order.Attempt{
+				Order: router.Order{Workspace: "w", Key: fmt.Sprint(idx), Digest: fmt.Sprintf("%064x", idx)},
+				Nonce: fmt.Sprint("nonce-", idx), Node: "n", Deadline: time.Now().Add(time.Hour),
+			}
+			if _, lerr := led.Look(context.Background(), att); lerr != nil {
+				err = lerr
+			}
+			if _, lerr := led.Run(context.Background(), att, func() order.Sent { return order.Sent{Answer: ans} }); lerr != nil {
+				err = lerr
+			}
+		})
+		if err != nil {
+			return Slope{}, err
+		}
+		slp.Points = append(slp.Points, Point{Size: float64(size), Figures: []float64{
+			use, float64(tab.largest), float64(tab.reads) / calls, float64(tab.writes) / calls,
+		}})
+	}
+	return slp, nil
+}
+
+// countingTable counts reads, writes and the largest row.
+type countingTable struct {
+	*memtab.Table
+
+	reads, writes, largest int
+}
+
+// Get counts and reads.
+func (tab *countingTable) Get(ctx context.Context, key string) (row router.Row, err error) {
+	tab.reads++
+	return tab.Table.Get(ctx, key)
+}
+
+// Put counts and writes.
+func (tab *countingTable) Put(ctx context.Context, wrs ...router.Write) (err error) {
+	tab.writes++
+	for _, wrt := range wrs {
+		tab.largest = max(tab.largest, len(wrt.Row.Value)+len(wrt.Row.Key)+len(wrt.Row.Version))
+	}
+	return tab.Table.Put(ctx, wrs...)
+}
--- /dev/null
+++ b/internal/bench/quic.go
@@ -0,0 +1,109 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/certs"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/peer"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+const callsPerPeer = 20
+
+// Peers measures the transport between nodes by the number of peers: the first call of each opens its connection.
+func Peers() (slp Slope, err error) {
+	defer fault.Annotate(&err, "measure peers")
+	slp = Slope{Name: "QUIC between nodes (both ends)", Unit: "peers", Columns: []string{
+		"open B/conn", "open CPU us/conn", "B/call", "CPU us/call", "KB/conn",
+	}}
+	dir, err := os.MkdirTemp("", "hbbench")
+	if err != nil {
+		return Slope{}, err
+	}
+	defer os.RemoveAll(dir)
+	ath, err := certs.NewAuthority()
+	if err != nil {
+		return Slope{}, err
+	}
+	if err := ath.Write(dir); err != nil {
+		return Slope{}, err
+	}
+	if err := ath.Issue(dir, "n"); err != nil {
+		return Slope{}, err
+	}
+	for _, size := range []int{4, 8, 16, 32} {
+		fgs, err := peers(dir, size)
+		if err != nil {
+			return Slope{}, err
+		}
+		slp.Points = append(slp.Points, Point{Size: float64(size), Figures: fgs})
+	}
+	return slp, nil
+}
+
+func peers(dir string, size int) (fgs []float64, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	kys, err := peer.LoadKeys(conf.TLS{
+		Certificate: filepath.Join(dir, "n.pem"), Key: filepath.Join(dir, "n.key"), Authority: filepath.Join(dir, certs.AuthorityFile),
+	})
+	if err != nil {
+		return nil, err
+	}
+	open := func(port int) (end *peer.Endpoint, err error) {
+		return peer.Listen(peer.Options{
+			Listen: fmt.Sprint("127.0.0.1:", port), Keys: kys, Log: slog.New(slog.DiscardHandler),
+			Handler: func(context.Context, *wire.Request) *wire.Reply { return &wire.Reply{} },
+		})
+	}
+	const port = 23900
+	var all []*peer.Endpoint
+	for idx := range size + 1 {
+		end, err := open(port + idx)
+		if err != nil {
+			return nil, err
+		}
+		defer end.Close()
+		all = append(all, end)
+		go func() { _ = end.Serve(ctx) }()
+	}
+	req := &wire.Request{Body: &wire.Request_Probe{Probe: &wire.Probe{Sender: &wire.Member{
+		Name: "node-0001", Incarnation: 1, Peer: "10.0.0.1:7946", Admin: "10.0.0.1:9100", Region: "r", FailureDomain: "d",
+	}}}}
+	round := func() error {
+		for idx := range size {
+			if _, err := all[0].Call(ctx, fmt.Sprint("127.0.0.1:", port+1+idx), req); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	mem, use, trf := heap(), cpu(), all[0].Traffic()
+	if err := round(); err != nil {
+		return nil, err
+	}
+	opened := all[0].Traffic()
+	fgs = []float64{bytesOf(trf, opened) / float64(size), float64((cpu() - use).Microseconds()) / float64(size)}
+	// Session tickets and acknowledgements of the opening arrive a little later.
+	time.Sleep(200 * time.Millisecond)
+	kept := (heap() - mem) / float64(size) / 1e3
+	use, trf = cpu(), all[0].Traffic()
+	for range callsPerPeer {
+		if err := round(); err != nil {
+			return nil, err
+		}
+	}
+	num := float64(size * callsPerPeer)
+	return append(fgs, bytesOf(trf, all[0].Traffic())/num, float64((cpu()-use).Microseconds())/num, kept), nil
+}
+
+func bytesOf(before, after peer.Traffic) float64 {
+	return float64(after.SentBytes + after.ReceivedBytes - before.SentBytes - before.ReceivedBytes)
+}
