Send whole member views only when nothing is on its way

Cause: views were compared every 15 s and sent whole whenever their digests differed, which they do for seconds after each replaced node.

--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -65,7 +65,7 @@
 	prc := flt.Nodes[pick%len(flt.Nodes)]
 	defer fault.Annotatef(&err, "stop %s", prc.Name)
 	if err := prc.Signal(syscall.SIGSTOP); err != nil {
-		return err
+		return errors.Wrapf(err, "its log ends with %s", tail(prc.Log()))
 	}
 	answers := answering(prc.URL + "/healthz")
 	time.Sleep(stopLength)
@@ -78,6 +78,12 @@
 	return nil
 }
 
+// tail returns the end of a log.
+func tail(txt string) string {
+	const length = 1500
+	return txt[max(0, len(txt)-length):]
+}
+
 // down makes a stand-in refuse everything.
 func down(prc *fleet.Process) (err error) {
 	defer fault.Annotatef(&err, "take down %s", prc.Name)
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -31,6 +31,10 @@
 	reviveRounds = 5
 	// fullRounds is how many rounds lie between two comparisons of whole views.
 	fullRounds = 15
+	// forcedRounds is how many rounds pass at most without such a comparison while changes go on.
+	forcedRounds = 20 * fullRounds
+	// quietTime is how long a view has been unchanged when it is compared; news travels faster by itself.
+	quietTime = 12 * time.Second
 )
 
 // Caller sends a request to the peer at an address.
@@ -106,7 +110,7 @@
 		return gos.help(ctx, prb.GetTarget())
 	}
 	if prb.GetFull() && prb.GetDigest() != vie.Digest() {
-		return &wire.ProbeReply{Sender: vie.Self(), Changes: vie.All()}
+		return &wire.ProbeReply{Sender: vie.Self(), Changes: vie.All(), Full: true}
 	}
 	return &wire.ProbeReply{Sender: vie.Self(), Changes: vie.Changes(maxChanges)}
 }
@@ -148,7 +152,7 @@
 	if rnd%reviveRounds == 0 {
 		go gos.revive(ctx)
 	}
-	if rnd%fullRounds == 0 {
+	if rnd%fullRounds == 0 && gos.options.View.Quiet(now, quietTime) || rnd%forcedRounds == 0 {
 		go gos.compare(ctx)
 	}
 	gos.options.Changed()
@@ -241,6 +245,9 @@
 }
 
 func (gos *Gossip) merge(rep *wire.ProbeReply) {
+	if rep.GetFull() {
+		gos.options.View.Adopt(rep.GetChanges(), gos.options.Timers.Now())
+	}
 	gos.learn(rep.GetChanges(), rep.GetSender())
 }
 
--- a/internal/router/member/view.go
+++ b/internal/router/member/view.go
@@ -29,6 +29,8 @@
 	members map[string]*entry
 	// version grows with every change of a state or of the set of members.
 	version uint64
+	// changed is when version last grew.
+	changed time.Time
 }
 
 type entry struct {
@@ -48,6 +50,7 @@
 		self:    slf.GetName(),
 		members: map[string]*entry{slf.GetName(): {member: slf, since: now}},
 		version: 1,
+		changed: now,
 	}
 }
 
@@ -67,6 +70,29 @@
 	}
 }
 
+// Adopt takes in a peer's whole view.
+//
+// Most of it is old news to everybody else, so what was unknown here is passed
+// on once only; passing it on like a change would have every node that joins
+// tell all the others of all the others.
+func (vie *View) Adopt(sts []*wire.Member, now time.Time) {
+	vie.mut.Lock()
+	known := make(map[string]uint64, len(vie.members))
+	for nam, ent := range vie.members {
+		known[nam] = ent.member.GetIncarnation()
+	}
+	vie.mut.Unlock()
+	vie.Merge(sts, now)
+	vie.mut.Lock()
+	defer vie.mut.Unlock()
+	lst := vie.spread() - 1
+	for nam, ent := range vie.members {
+		if nam != vie.self && known[nam] != ent.member.GetIncarnation() {
+			ent.sends = max(ent.sends, lst)
+		}
+	}
+}
+
 // Suspect records that a member did not answer.
 func (vie *View) Suspect(name string, now time.Time) {
 	vie.mut.Lock()
@@ -107,7 +133,7 @@
 		case wire.MemberState_MEMBER_STATE_DEAD:
 			if now.Sub(ent.since) > deadLife {
 				delete(vie.members, nam)
-				vie.version++
+				vie.grow(now)
 			}
 		}
 	}
@@ -180,6 +206,13 @@
 	return sum
 }
 
+// Quiet reports whether nothing has changed for a time, so that a differing digest is no news on its way.
+func (vie *View) Quiet(now time.Time, span time.Duration) bool {
+	vie.mut.Lock()
+	defer vie.mut.Unlock()
+	return now.Sub(vie.changed) >= span
+}
+
 // Version grows with every change of a state or of the set of members.
 func (vie *View) Version() uint64 {
 	vie.mut.Lock()
@@ -208,7 +241,7 @@
 	ent := vie.members[mem.GetName()]
 	if ent == nil {
 		vie.members[mem.GetName()] = &entry{member: mem, since: now}
-		vie.version++
+		vie.grow(now)
 		return
 	}
 	switch {
@@ -218,7 +251,7 @@
 		if moved {
 			ent.since = now
 			ent.sends = 0
-			vie.version++
+			vie.grow(now)
 		}
 	case mem.GetIncarnation() == ent.member.GetIncarnation() && mem.GetRevision() > ent.member.GetRevision():
 		ent.member = proto.CloneOf(ent.member)
@@ -235,7 +268,7 @@
 	slf := proto.CloneOf(ent.member)
 	slf.Incarnation = mem.GetIncarnation() + 1
 	*ent = entry{member: slf, since: now}
-	vie.version++
+	vie.grow(now)
 }
 
 // newer reports whether one statement about a member overrides another.
@@ -251,7 +284,12 @@
 	ent.member.State = sta
 	ent.since = now
 	ent.sends = 0
+	vie.grow(now)
+}
+
+func (vie *View) grow(now time.Time) {
 	vie.version++
+	vie.changed = now
 }
 
 func (vie *View) spread() int {
