End a round only by the result of an attempt that ran

Cause: a hedge that found no slot reported its result in the name of the first attempt; when that had just won, the round ended with an empty result and the handler panicked, which cut the caller's stream. Ruled out: the write deadline and the engine, by the node's log. Before: holding 250 streams on one core failed with an unexpected EOF.

--- a/internal/router/runner/run.go
+++ b/internal/router/runner/run.go
@@ -136,8 +136,8 @@
 		cancel(nil)
 		return result{}, err
 	}
-	rnd := &round{session: ses, results: make(chan result, 2), live: 1}
 	fst := ses.newAttempt(ctx, run, slt)
+	rnd := newRound(ses, fst)
 	go func() { rnd.results <- fst.run() }()
 	due, stop := run.hedgeDue(ses)
 	defer stop()
@@ -148,7 +148,7 @@
 			if rnd.over(res) {
 				cancel(errLost)
 				rnd.drain()
-				return res, nil
+				return rnd.last, nil
 			}
 		case <-due:
 			due = nil
@@ -165,10 +165,25 @@
 	session *session
 	results chan result
 	live    int
+	// last is how the last attempt ended that did not lose to another.
+	last result
+}
+
+func newRound(ses *session, fst *attempt) *round {
+	return &round{
+		session: ses,
+		results: make(chan result, 2),
+		live:    1,
+		last:    result{attempt: fst, ending: endFailed, err: errLost},
+	}
 }
 
 // over reports whether a result ends the round; it then seals the round, so that no attempt wins it later.
 func (rnd *round) over(res result) bool {
+	if res.ending == endLost {
+		return rnd.live == 0
+	}
+	rnd.last = res
 	win := &rnd.session.winner
 	if win.Load() == res.attempt {
 		return true
@@ -221,7 +236,7 @@
 // hedge starts a second attempt on another upstream if the budget allows; it always sends one result.
 func (run *Runner) hedge(ctx context.Context, ses *session, fst *attempt, ress chan<- result) {
 	if !run.hedges.Of(ses.chat.Pool.Name).Spend() {
-		ress <- result{attempt: fst, ending: endLost}
+		ress <- result{ending: endLost}
 		return
 	}
 	avd := map[string]bool{fst.grant.Upstream().Name: true}
@@ -230,7 +245,7 @@
 	}
 	slt, err := run.acquire(ctx, ses, avd)
 	if err != nil {
-		ress <- result{attempt: fst, ending: endLost}
+		ress <- result{ending: endLost}
 		return
 	}
 	ress <- ses.newAttempt(ctx, run, slt).run()
