Move a stream off an upstream that became slow

Cause: a stream on an engine that slowed tenfold stayed there, and a hedge came only at half the target.

--- a/internal/router/runner/attempt.go
+++ b/internal/router/runner/attempt.go
@@ -23,6 +23,7 @@
 	errStalled  = errors.New("stream stalled")
 	errDead     = errors.New("upstream does not answer")
 	errCaller   = errors.New("caller gone")
+	errSlow     = errors.New("upstream became slow")
 )
 
 const (
@@ -47,6 +48,8 @@
 	endRefused
 	// endCaller: the caller is gone.
 	endCaller
+	// endSlow: the stream is moved to another upstream.
+	endSlow
 )
 
 type result struct {
@@ -70,8 +73,10 @@
 	started time.Time
 	// last is the time of the last event in Unix nanoseconds.
 	last atomic.Int64
-	// first is set when the first token has come.
+	// first is set when the first token has come, at firstAt in Unix nanoseconds; relayed counts the tokens.
 	first   atomic.Bool
+	firstAt atomic.Int64
+	relayed atomic.Int64
 	probing atomic.Bool
 	// held is the event before the first token, kept until the attempt has won.
 	held   string
@@ -196,7 +201,9 @@
 
 func (att *attempt) progress(now time.Time) {
 	att.tokens++
+	att.relayed.Add(1)
 	if att.tokens == 1 {
+		att.firstAt.Store(now.UnixNano())
 		att.ttft = now.Sub(att.started)
 		att.grant.Progress(0)
 		return
@@ -218,6 +225,8 @@
 	switch {
 	case errors.Is(err, errRecalled):
 		res.ending = endRecalled
+	case errors.Is(err, errSlow):
+		res.ending = endSlow
 	case errors.Is(err, errLost):
 		res.ending = endLost
 	case errors.Is(err, errDead):
--- a/internal/router/runner/run.go
+++ b/internal/router/runner/run.go
@@ -62,6 +62,9 @@
 	case endRecalled:
 		run.requeue(ses, res.attempt)
 		return true, nil
+	case endSlow:
+		run.options.Log.Info("stream moved", "Request", ses.chat.ID, "Upstream", res.attempt.grant.Upstream().Name, "Tokens", ses.tokens)
+		return true, nil
 	default:
 		return run.afterFailure(ses, res)
 	}
@@ -223,13 +226,16 @@
 	return slt, err
 }
 
-// hedgeDue returns a channel that is ready when the first token is late by half the target.
+// hedgePart is the part of the first token's target after which a second attempt is made.
+const hedgePart = 4
+
+// hedgeDue returns a channel that is ready when the first token is late by a part of its target.
 func (run *Runner) hedgeDue(ses *session) (due <-chan struct{}, stop func()) {
 	if run.options.Live.Get().Policy.HedgeShare == 0 || ses.chat.Class.Recallable {
 		return nil, func() {}
 	}
 	rdy := make(chan struct{})
-	stop = run.options.Timers.After(ses.chat.Class.FirstToken/2, func(time.Time) { close(rdy) })
+	stop = run.options.Timers.After(ses.chat.Class.FirstToken/hedgePart, func(time.Time) { close(rdy) })
 	return rdy, stop
 }
 
--- a/internal/router/runner/watch.go
+++ b/internal/router/runner/watch.go
@@ -7,7 +7,11 @@
 
 const (
 	// watchPeriod is how often progress is checked.
-	watchPeriod = 100 * time.Millisecond
+	watchPeriod = 25 * time.Millisecond
+	// slowFactor is how many of its own mean gaps a stream is silent before it is moved.
+	slowFactor = 4
+	// slowTokens is how many tokens a stream has had before its mean gap counts.
+	slowTokens = 2
 	// firstTokenPatience is how much longer than between tokens an upstream may be silent before the first.
 	firstTokenPatience = 5
 )
@@ -24,7 +28,8 @@
 	delete(run.attempts, att)
 }
 
-// watch starts a probe for every attempt that made no progress for too long.
+// watch moves streams of classes with a token target off upstreams that became
+// slow, and starts a probe for every attempt that made no progress for too long.
 func (run *Runner) watch(now time.Time) {
 	run.mut.Lock()
 	defer run.mut.Unlock()
@@ -32,6 +37,9 @@
 		if att.silence(now) > att.patience() && att.probing.CompareAndSwap(false, true) {
 			go att.probe()
 		}
+		if att.slow(now) && run.hedges.Of(att.session.chat.Pool.Name).Spend() {
+			att.cancel(errSlow)
+		}
 	}
 }
 
@@ -46,6 +54,24 @@
 	return firstTokenPatience * att.runner.options.Live.Get().Policy.StallAfter
 }
 
+// slow reports whether a stream that another upstream can continue is silent for
+// longer than its class's target and several times its own mean gap.
+//
+// Load reports would tell later; the stream itself tells first.
+func (att *attempt) slow(now time.Time) bool {
+	cls := att.session.chat.Class
+	num := att.relayed.Load()
+	if cls.BetweenTokens == 0 || cls.Recallable || num < slowTokens || att.context.Err() != nil {
+		return false
+	}
+	if !att.session.single || !att.session.chat.Pool.Extensions {
+		return false
+	}
+	lst := time.Unix(0, att.last.Load())
+	gap := lst.Sub(time.Unix(0, att.firstAt.Load())) / time.Duration(num)
+	return now.Sub(lst) > max(cls.BetweenTokens, slowFactor*gap)
+}
+
 // probe asks a silent attempt's upstream for its health on a fresh connection.
 //
 // If that answers, the older connections are retired; if not, the upstream is
