Give a slow upstream a short pause

Cause: a moved stream could go to the other slow engine, because the moving mean of token gaps lags behind by many tokens. Ruled out: a heavier weight of the newest gap, which would react to noise.

--- a/internal/router/iface.go
+++ b/internal/router/iface.go
@@ -89,6 +89,8 @@
 type Result struct {
 	// Failed is set when the upstream failed or stalled.
 	Failed bool
+	// Slow is set when the request was moved away or overtaken because the upstream was slow.
+	Slow bool
 	// FirstToken is the time from sending to the first token; zero when there was none.
 	FirstToken time.Duration
 	// Tokens is the number of tokens that arrived.
--- a/internal/router/runner/attempt.go
+++ b/internal/router/runner/attempt.go
@@ -117,6 +117,7 @@
 	res.attempt = att
 	att.grant.Release(router.Result{
 		Failed:     res.ending == endFailed,
+		Slow:       res.ending == endSlow || res.ending == endLost && att.tokens == 0,
 		FirstToken: att.ttft,
 		Tokens:     att.tokens,
 		Elapsed:    att.runner.now().Sub(att.started),
--- a/internal/router/sched/upstream.go
+++ b/internal/router/sched/upstream.go
@@ -75,8 +75,12 @@
 	}
 }
 
-// observe counts failures in a row and lengthens the pause with each.
+// observe counts failures in a row and lengthens the pause with each; a slow upstream gets the first pause.
 func (ups *upstream) observe(res router.Result, now time.Time) {
+	if res.Slow {
+		ups.closedUntil = now.Add(firstPause)
+		return
+	}
 	if !res.Failed {
 		ups.failures = 0
 		ups.closedUntil = time.Time{}
