--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -182,7 +182,7 @@
 			LongTokens:     1000,
 			LongShare:      0.5,
 			RetryShare:     0.1,
-			HedgeShare:     0.05,
+			HedgeShare:     0.1,
 			StallAfter:     2 * time.Second,
 			ConnectTimeout: time.Second,
 		},
