Race operators on real nodes and watch for reverts

Cause: publication was modelled and raced in process, not on nodes. Ruled out: trusting the operators' answers; the history is read back, and every node's revision is watched every 20 ms. Conclusion: make faults now runs 200 races.

--- a/cmd/hbfault/main.go
+++ b/cmd/hbfault/main.go
@@ -18,6 +18,7 @@
 	Example   string `long:"example" default:"examples/tolbooth" description:"deployment"`
 	Schedules int    `long:"schedules" default:"50" description:"seeded schedules of faults"`
 	Orders    int    `long:"orders" default:"40" description:"orders in each schedule"`
+	Races     int    `long:"races" default:"200" description:"races of two operators"`
 	Weak      int    `long:"weak" default:"5" description:"schedules without protection, which must break a promise"`
 }
 
@@ -73,6 +74,9 @@
 	if !ver.Holds() {
 		return errors.Errorf("broken: %+v", ver)
 	}
+	if err := chaos.Configurations(out, flt, opt.Races); err != nil {
+		return err
+	}
 	last, err := chaos.Leaving(flt)
 	if err != nil {
 		return err
--- a/internal/action/apply.go
+++ b/internal/action/apply.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	acc, err := submit(ctx, tgt, chg)
+	acc, err := Submit(ctx, tgt, chg)
 	if err != nil {
 		return errors.Wrapf(err, "change %s", chg.ID)
 	}
@@ -94,8 +94,25 @@
 // uncertain is a failure after which the same change is sent again.
 type uncertain struct{ error }
 
-// submit sends a change until the outcome is certain.
-func submit(ctx context.Context, tgt query.Target, chg admin.Change) (acc admin.Accepted, err error) {
+// Unwrap returns the failure itself.
+func (unc uncertain) Unwrap() error {
+	return unc.error
+}
+
+// Refused is a command that a node did not carry out.
+type Refused struct {
+	Status  int
+	Failure admin.Failure
+}
+
+// Error gives the status, the code, and every fault of a configuration on a line of its own.
+func (ref *Refused) Error() string {
+	lns := append([]string{ref.Failure.Message}, ref.Failure.Errors...)
+	return fmt.Sprintf("status %d %s: %s", ref.Status, ref.Failure.Code, strings.Join(lns, "\n"))
+}
+
+// Submit sends a change until the outcome is certain; a node's refusal is a *Refused.
+func Submit(ctx context.Context, tgt query.Target, chg admin.Change) (acc admin.Accepted, err error) {
 	for range tries {
 		err = post(ctx, tgt, "/configuration", chg, &acc)
 		var unc uncertain
@@ -130,16 +147,15 @@
 	return json.NewDecoder(res.Body).Decode(out)
 }
 
-// failure returns what a node says of a refused command, with every fault of a configuration on a line.
+// failure returns what a node says of a refused command.
 func failure(res *http.Response) error {
-	var fai admin.Failure
+	ref := &Refused{Status: res.StatusCode}
 	// A body that is not the API's own leaves the message empty.
-	_ = json.NewDecoder(res.Body).Decode(&fai)
-	err := errors.Errorf("status %d %s: %s", res.StatusCode, fai.Code, strings.Join(append([]string{fai.Message}, fai.Errors...), "\n"))
+	_ = json.NewDecoder(res.Body).Decode(&ref.Failure)
 	if res.StatusCode == http.StatusServiceUnavailable {
-		return uncertain{err}
+		return uncertain{ref}
 	}
-	return err
+	return ref
 }
 
 // await waits until every live node has a revision in force, and names the nodes that do not in time.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,7 +53,8 @@
 	Table     *Process
 	Objects   *Process
 	VMs       *Process
-	settings  []conf.Node
+	// Settings are those of the nodes, in the order of Nodes.
+	Settings []conf.Node
 }
 
 // Start starts a deployment and waits until every process is healthy.
@@ -169,6 +170,11 @@
 	return filepath.Join(flt.Options.Example, "base.yaml")
 }
 
+// Document returns the configuration that the nodes are started with.
+func (flt *Fleet) Document() (doc conf.Document, err error) {
+	return conf.ReadDocument(flt.base(), flt.overlays())
+}
+
 func (flt *Fleet) overlays() (fls []string) {
 	// The pattern is constant, so Glob cannot fail.
 	fls, _ = filepath.Glob(filepath.Join(flt.Options.Example, "overlays", "*.yaml"))
@@ -197,7 +203,7 @@
 		if err != nil {
 			return err
 		}
-		flt.settings = append(flt.settings, nod)
+		flt.Settings = append(flt.Settings, nod)
 		flt.Nodes = append(flt.Nodes, flt.node(nod, filepath.Join(flt.Options.Work, filepath.Base(fil))))
 	}
 	return nil
@@ -216,7 +222,7 @@
 	if err := ath.Write(tls); err != nil {
 		return err
 	}
-	for _, nod := range flt.settings {
+	for _, nod := range flt.Settings {
 		if err := ath.Issue(tls, nod.Name); err != nil {
 			return err
 		}
@@ -249,7 +255,7 @@
 			flt.Upstreams[ups.Name] = flt.stand(ups.Name, ups.Address, ars...)
 		}
 	}
-	set := flt.settings[0]
+	set := flt.Settings[0]
 	vms := filepath.Join(opt.Work, "vms.json")
 	raw, err := json.Marshal(flt.vmGroups())
 	if err != nil {
@@ -280,7 +286,7 @@
 		}
 		gps = append(gps, vmlist.Group{Targets: []string{adr}, Labels: lab})
 	}
-	for _, nod := range flt.settings {
+	for _, nod := range flt.Settings {
 		add(vmlist.RoleNode, nod.Name, nod.Peer)
 	}
 	for _, pol := range flt.Config.Pools {
