Share what the auxiliary programs had each for itself

Cause: four programs parsed their command lines alike, two drew charts, two probed health, two rewrote an example's base file. Ruled out: merging the programs; each has one job. Conclusion: args, plot and fleet hold what is shared.

--- a/cmd/hbbench/main.go
+++ b/cmd/hbbench/main.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/hornbeamdyke/hornbeamdyke/internal/args"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/bench"
 )
 
@@ -17,16 +15,7 @@
 
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(opt); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	args.Main(&opt, func() error { return run(opt) })
 }
 
 func run(opt options) error {
--- a/cmd/hbdemo/main.go
+++ b/cmd/hbdemo/main.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/hornbeamdyke/hornbeamdyke/internal/args"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/demo"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fleet"
 )
@@ -20,18 +18,14 @@
 
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	for _, exm := range opt.Args.Examples {
-		if err := show(exm, opt.Binaries); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+	args.Main(&opt, func() error {
+		for _, exm := range opt.Args.Examples {
+			if err := show(exm, opt.Binaries); err != nil {
+				return err
+			}
 		}
-	}
+		return nil
+	})
 }
 
 func show(example, binaries string) (err error) {
--- a/cmd/hbfault/main.go
+++ b/cmd/hbfault/main.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jessevdk/go-flags"
 
+	"github.com/hornbeamdyke/hornbeamdyke/internal/args"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/chaos"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fleet"
 )
@@ -27,16 +27,7 @@
 
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(os.Stdout, opt); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	args.Main(&opt, func() error { return run(os.Stdout, opt) })
 }
 
 func run(out io.Writer, opt options) error {
--- a/cmd/hbload/main.go
+++ b/cmd/hbload/main.go
@@ -2,15 +2,12 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/hornbeamdyke/hornbeamdyke/internal/args"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fleet"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/load"
@@ -26,7 +23,7 @@
 	Out       string        `long:"out" description:"directory for results.json and index.html"`
 }
 
-// policies are the settings that replace those of the example, by name.
+// policies are the settings of queue, pick and slots by the name of the policy.
 var policies = []struct{ name, queue, pick, slots string }{
 	{"Leased", "Tiered", "Observed", "Leased"},
 	{"AloneTiered", "Tiered", "LeastInFlight", "Alone"},
@@ -34,18 +31,21 @@
 	{"FifoRandom", "Fifo", "Random", "Alone"},
 }
 
+// replacements put a policy in place of the example's, and lift the workspace limits that would hide it.
+func replacements(queue, pick, slots string) map[string]string {
+	return map[string]string{
+		"Queue: Tiered":    "Queue: " + queue,
+		"Pick: Observed":   "Pick: " + pick,
+		"Slots: Leased":    "Slots: " + slots,
+		"RequestRate: 200": "RequestRate: 100000",
+		"Burst: 400":       "Burst: 100000",
+		"InFlight: 400":    "InFlight: 100000",
+	}
+}
+
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(opt); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	args.Main(&opt, func() error { return run(opt) })
 }
 
 func run(opt options) (err error) {
@@ -59,10 +59,11 @@
 				if len(opt.Policies) > 0 && !slices.Contains(opt.Policies, pcy.name) {
 					continue
 				}
-				rsl, err := once(opt, scn, pcy.name, []string{"Queue: " + pcy.queue, "Pick: " + pcy.pick, "Slots: " + pcy.slots}, sed)
+				rsl, err := once(opt, scn, replacements(pcy.queue, pcy.pick, pcy.slots), sed)
 				if err != nil {
 					return err
 				}
+				rsl.Policy = pcy.name
 				load.Print(os.Stdout, rsl)
 				rss = append(rss, rsl)
 			}
@@ -75,22 +76,17 @@
 }
 
 // once runs one scenario on a new deployment.
-func once(opt options, scn load.Scenario, policy string, lines []string, seed uint64) (rsl load.Result, err error) {
-	defer fault.Annotatef(&err, "policy %s", policy)
+func once(opt options, scn load.Scenario, rpl map[string]string, seed uint64) (rsl load.Result, err error) {
 	wrk, err := os.MkdirTemp("", "hbload")
 	if err != nil {
 		return load.Result{}, err
 	}
 	defer os.RemoveAll(wrk)
-	bas, err := variant(opt.Example, wrk, lines)
-	if err != nil {
-		return load.Result{}, err
-	}
 	flt, err := fleet.Start(fleet.Options{
 		Example:     opt.Example,
 		Binaries:    opt.Binaries,
 		Work:        wrk,
-		Base:        bas,
+		Replace:     rpl,
 		Gap:         opt.Gap,
 		Prefill:     2 * opt.Gap,
 		ServiceWork: 5 * time.Millisecond,
@@ -100,43 +96,12 @@
 	}
 	defer flt.Stop()
 	time.Sleep(settleTime)
-	rsl, err = load.Run(flt, scn, seed)
-	rsl.Policy = policy
-	return rsl, err
+	return load.Run(flt, scn, seed)
 }
 
 // settleTime lets the nodes find each other and their leases begin.
 const settleTime = 4 * time.Second
 
-// variant writes the example's base with other policies, and without the workspace limits that would hide them.
-func variant(example, work string, lines []string) (file string, err error) {
-	txt, err := os.ReadFile(filepath.Join(example, "base.yaml"))
-	if err != nil {
-		return "", err
-	}
-	out := string(txt)
-	for _, lin := range lines {
-		nam, _, _ := strings.Cut(lin, ":")
-		out = replaceLine(out, "  "+nam+": ", "  "+lin)
-	}
-	out = strings.ReplaceAll(out, "RequestRate: 200", "RequestRate: 100000")
-	out = strings.ReplaceAll(out, "Burst: 400", "Burst: 100000")
-	out = strings.ReplaceAll(out, "InFlight: 400", "InFlight: 100000")
-	file = filepath.Join(work, "base.yaml")
-	return file, os.WriteFile(file, []byte(out), 0o600)
-}
-
-// replaceLine replaces the line that begins with a prefix.
-func replaceLine(txt, prefix, line string) string {
-	lns := strings.Split(txt, "\n")
-	for idx, one := range lns {
-		if strings.HasPrefix(one, prefix) {
-			lns[idx] = line
-		}
-	}
-	return strings.Join(lns, "\n")
-}
-
 func write(opt options, rss []load.Result) (err error) {
 	defer fault.Annotate(&err, "write results")
 	if err := os.MkdirAll(opt.Out, 0o755); err != nil {
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -70,8 +70,8 @@
 func members(size int) []float64 {
 	tms := timer.NewManual(time.Unix(1_000_000, 0))
 	net := &network{nodes: make(map[string]*gossip.Gossip)}
-	var vws []*member.View
-	var all []*wire.Member
+	vws := make([]*member.View, 0, size)
+	all := make([]*wire.Member, 0, size)
 	for idx := range size {
 		all = append(all, &wire.Member{
 			Name:          fmt.Sprintf("node-%04d", idx),
@@ -95,7 +95,7 @@
 		net.nodes[mem.GetPeer()] = gos
 	}
 	state := (heap() - before) / float64(size) / 1e3
-	var stops []func()
+	stops := make([]func(), 0, size)
 	for _, gos := range net.nodes {
 		stops = append(stops, gos.Start())
 	}
--- a/internal/bench/quic.go
+++ b/internal/bench/quic.go
@@ -64,13 +64,13 @@
 		})
 	}
 	const port = 23900
-	var all []*peer.Endpoint
+	all := make([]*peer.Endpoint, 0, size+1)
 	for idx := range size + 1 {
 		end, err := open(port + idx)
 		if err != nil {
 			return nil, err
 		}
-		defer end.Close()
+		defer func() { _ = end.Close() }()
 		all = append(all, end)
 		go func() { _ = end.Serve(ctx) }()
 	}
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	opened := all[0].Traffic()
-	fgs = []float64{bytesOf(trf, opened) / float64(size), float64((cpu() - use).Microseconds()) / float64(size)}
+	openBytes, openTime := bytesOf(trf, opened)/float64(size), float64((cpu()-use).Microseconds())/float64(size)
 	// Session tickets and acknowledgements of the opening arrive a little later.
 	time.Sleep(200 * time.Millisecond)
 	kept := (heap() - mem) / float64(size) / 1e3
@@ -101,7 +101,11 @@
 		}
 	}
 	num := float64(size * callsPerPeer)
-	return append(fgs, bytesOf(trf, all[0].Traffic())/num, float64((cpu()-use).Microseconds())/num, kept), nil
+	return []float64{
+		openBytes, openTime,
+		bytesOf(trf, all[0].Traffic()) / num, float64((cpu() - use).Microseconds()) / num,
+		kept,
+	}, nil
 }
 
 func bytesOf(before, after peer.Traffic) float64 {
--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -122,16 +121,5 @@
 }
 
 func answering(url string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return false
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	defer res.Body.Close()
-	return res.StatusCode == http.StatusOK
+	return fleet.Healthy(context.Background(), url, probeTime)
 }
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -101,9 +101,9 @@
 	}
 }
 
-func (chk *checker) atLeast(path string, val, low int) {
-	if val < low {
-		chk.fail(path, "%d must be at least %d", val, low)
+func (chk *checker) atLeastOne(path string, val int) {
+	if val < 1 {
+		chk.fail(path, "%d must be at least 1", val)
 	}
 }
 
@@ -232,7 +232,7 @@
 func (chk *checker) upstream(path string, ups router.Upstream, cfg Config) {
 	chk.name(join(path, "Name"), ups.Name)
 	chk.url(join(path, "Address"), ups.Address)
-	chk.atLeast(join(path, "Slots"), ups.Slots, 1)
+	chk.atLeastOne(join(path, "Slots"), ups.Slots)
 	if cfg.Region(ups.FailureDomain) == "" {
 		chk.fail(join(path, "FailureDomain"), "unknown failure domain %q", ups.FailureDomain)
 	}
@@ -253,8 +253,8 @@
 		if wsp.RequestRate <= 0 {
 			chk.fail(join(pth, "RequestRate"), "%g must be above 0 requests a second", wsp.RequestRate)
 		}
-		chk.atLeast(join(pth, "Burst"), wsp.Burst, 1)
-		chk.atLeast(join(pth, "InFlight"), wsp.InFlight, 1)
+		chk.atLeastOne(join(pth, "Burst"), wsp.Burst)
+		chk.atLeastOne(join(pth, "InFlight"), wsp.InFlight)
 		if len(wsp.Classes) == 0 {
 			chk.fail(join(pth, "Classes"), "needs at least one class")
 		}
@@ -279,9 +279,9 @@
 	oneOf(chk, "Policy.Queue", pcy.Queue, Tiered, Fifo)
 	oneOf(chk, "Policy.Pick", pcy.Pick, Observed, LeastInFlight, Random)
 	oneOf(chk, "Policy.Slots", pcy.Slots, Leased, Alone)
-	chk.atLeast("Policy.Subset", pcy.Subset, 1)
-	chk.atLeast("Policy.QueueLength", pcy.QueueLength, 1)
-	chk.atLeast("Policy.LongTokens", pcy.LongTokens, 1)
+	chk.atLeastOne("Policy.Subset", pcy.Subset)
+	chk.atLeastOne("Policy.QueueLength", pcy.QueueLength)
+	chk.atLeastOne("Policy.LongTokens", pcy.LongTokens)
 	chk.share("Policy.LongShare", pcy.LongShare)
 	chk.share("Policy.RetryShare", pcy.RetryShare)
 	chk.share("Policy.HedgeShare", pcy.HedgeShare)
@@ -290,8 +290,8 @@
 }
 
 func (chk *checker) limits(lim Limits) {
-	chk.atLeast("Limits.BodyBytes", lim.BodyBytes, 1)
-	chk.atLeast("Limits.AnswerBytes", lim.AnswerBytes, 1)
+	chk.atLeastOne("Limits.BodyBytes", lim.BodyBytes)
+	chk.atLeastOne("Limits.AnswerBytes", lim.AnswerBytes)
 	chk.positive("Limits.OrderRetention", lim.OrderRetention)
 	chk.positive("Limits.OrderTimeout", lim.OrderTimeout)
 	chk.positive("Limits.OrderWait", lim.OrderWait)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,8 +40,8 @@
 	CrashOn string
 	// Env is added to the nodes' environment.
 	Env []string
-	// Base replaces base.yaml of the example; empty keeps it.
-	Base string
+	// Replace changes the text of base.yaml: each key is replaced by its value wherever it stands.
+	Replace map[string]string
 }
 
 // Fleet is the running processes of a deployment.
@@ -164,8 +165,8 @@
 }
 
 func (flt *Fleet) base() string {
-	if flt.Options.Base != "" {
-		return flt.Options.Base
+	if len(flt.Options.Replace) > 0 {
+		return filepath.Join(flt.Options.Work, "base.yaml")
 	}
 	return filepath.Join(flt.Options.Example, "base.yaml")
 }
@@ -181,8 +182,27 @@
 	return fls
 }
 
+// replace writes a base with the replacements, if there are any.
+func (flt *Fleet) replace() (err error) {
+	if len(flt.Options.Replace) == 0 {
+		return nil
+	}
+	txt, err := os.ReadFile(filepath.Join(flt.Options.Example, "base.yaml"))
+	if err != nil {
+		return err
+	}
+	out := string(txt)
+	for old, now := range flt.Options.Replace {
+		out = strings.ReplaceAll(out, old, now)
+	}
+	return os.WriteFile(flt.base(), []byte(out), 0o600)
+}
+
 // load reads the base configuration and the nodes' settings.
 func (flt *Fleet) load() (err error) {
+	if err := flt.replace(); err != nil {
+		return err
+	}
 	doc, err := conf.ReadDocument(flt.base(), nil)
 	if err != nil {
 		return err
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -101,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	for {
-		if healthy(ctx, prc.health) {
+		if Healthy(ctx, prc.health, pollTimeout) {
 			return nil
 		}
 		select {
@@ -114,8 +114,9 @@
 	}
 }
 
-func healthy(ctx context.Context, url string) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+// Healthy reports whether a GET of the URL is answered with 200 within the limit.
+func Healthy(ctx context.Context, url string, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/load/page.go
+++ b/internal/load/page.go
@@ -7,15 +7,8 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/wcharczuk/go-chart/v2"
-
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
-)
-
-const (
-	plotWidth  = 1000
-	plotHeight = 260
-	barWidth   = 30
+	"github.com/hornbeamdyke/hornbeamdyke/internal/plot"
 )
 
 // Print writes one result as text.
@@ -46,17 +39,14 @@
 	var txt bytes.Buffer
 	var pls []template.HTML
 	for _, scn := range Scenarios() {
-		var brs []chart.Value
+		var brs []plot.Bar
 		for _, rsl := range rss {
 			if rsl.Scenario == scn.Name {
-				brs = append(brs, chart.Value{Label: fmt.Sprintf("%s %d", rsl.Policy, rsl.Seed), Value: 100 * rsl.Classes[0].Met})
+				brs = append(brs, plot.Bar{Label: fmt.Sprintf("%s %d", rsl.Policy, rsl.Seed), Value: 100 * rsl.Classes[0].Met})
 				Print(&txt, rsl)
 			}
 		}
-		if len(brs) == 0 {
-			continue
-		}
-		plt, err := plot(scn.Name, brs)
+		plt, err := plot.Bars(scn.Name+": highest tier within target, %", 100, brs)
 		if err != nil {
 			return err
 		}
@@ -67,19 +57,3 @@
 		Text  string
 	}{pls, txt.String()})
 }
-
-func plot(name string, brs []chart.Value) (plt template.HTML, err error) {
-	grh := chart.BarChart{
-		Title:    name + ": highest tier within target, %",
-		Width:    plotWidth,
-		Height:   plotHeight,
-		BarWidth: barWidth,
-		YAxis:    chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: 100}},
-		Bars:     brs,
-	}
-	var buf bytes.Buffer
-	if err := grh.Render(chart.SVG, &buf); err != nil {
-		return "", err
-	}
-	return template.HTML(buf.String()), nil
-}
--- /dev/null
+++ b/internal/plot/doc.go
@@ -0,0 +1,2 @@
+// Package plot draws bar charts as SVG for pages that need no other file.
+package plot
--- a/internal/router/admin/query.go
+++ b/internal/router/admin/query.go
@@ -54,8 +54,9 @@
 }
 
 func (api *API) workspaces(wri http.ResponseWriter, _ *http.Request, _ conf.Operator) {
-	nms := []string{}
-	for _, wsp := range api.options.Live.Get().Workspaces {
+	wss := api.options.Live.Get().Workspaces
+	nms := make([]string, 0, len(wss))
+	for _, wsp := range wss {
 		nms = append(nms, wsp.Name)
 	}
 	Reply(wri, http.StatusOK, nms)
--- a/internal/router/burn/burn.go
+++ b/internal/router/burn/burn.go
@@ -91,7 +91,7 @@
 	if !obs.Counted() || obs.Class.Name == "" {
 		return
 	}
-	min := rec.minute()
+	now := rec.minute()
 	kyy := key{class: obs.Class.Name, workspace: obs.Workspace}
 	shd := rec.shard(kyy)
 	shd.mut.Lock()
@@ -102,15 +102,15 @@
 		shd.series[kyy] = ser
 	}
 	ser.objective = obs.Class.Objective
-	ser.add(min, obs.Met())
+	ser.add(now, obs.Met())
 }
 
 // Report returns the counts of all windows up to now.
 func (rec *Recorder) Report(node string) (rep Report) {
 	rep.Node = node
-	min := rec.minute()
+	now := rec.minute()
 	for idx := range rec.shards {
-		rep.Rows = append(rep.Rows, rec.shards[idx].rows(min, rec.site)...)
+		rep.Rows = append(rep.Rows, rec.shards[idx].rows(now, rec.site)...)
 	}
 	sortRows(rep.Rows)
 	return rep
@@ -168,8 +168,8 @@
 	for _, win := range Windows() {
 		var sum Counts
 		fst := minute - int64(win/bucketLength)
-		for idx, min := range ser.minutes {
-			if min > fst && min <= minute {
+		for idx, one := range ser.minutes {
+			if one > fst && one <= minute {
 				sum.Total += ser.counts[idx].Total
 				sum.Missed += ser.counts[idx].Missed
 			}
--- a/internal/router/member/member_test.go
+++ b/internal/router/member/member_test.go
@@ -71,7 +71,7 @@
 // TestFingersProbeEveryone checks that everybody is probed as often as it probes, and that news gets round.
 func TestFingersProbeEveryone(t *testing.T) {
 	for _, size := range []int{2, 3, 6, 50, 171} {
-		var mms []*wire.Member
+		mms := make([]*wire.Member, 0, size)
 		for idx := range size {
 			mms = append(mms, node(fmt.Sprint("n", idx), 1, live))
 		}
--- a/internal/router/node/path_test.go
+++ b/internal/router/node/path_test.go
@@ -46,7 +46,7 @@
 func newPath(t *testing.T, opt stand.EngineOptions, engines int, wrap func(idx int, next http.Handler) http.Handler) *path {
 	t.Helper()
 	pth := &path{t: t, reached: make(chan struct{})}
-	var adrs []string
+	adrs := make([]string, 0, engines)
 	for idx := range engines {
 		swt := stand.NewSwitch(1)
 		pth.switches = append(pth.switches, swt)
--- a/internal/router/node/peers.go
+++ b/internal/router/node/peers.go
@@ -112,15 +112,13 @@
 
 func (prs *peers) eligible(ups router.Upstream) (nms []string) {
 	reg := prs.node.live.Get().Region(ups.FailureDomain)
-	var all []string
 	for _, mem := range prs.view.Serving() {
-		all = append(all, mem.GetName())
 		if mem.GetRegion() == reg {
 			nms = append(nms, mem.GetName())
 		}
 	}
 	if len(nms) == 0 {
-		return all
+		return prs.names()
 	}
 	return nms
 }
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -1,12 +1,13 @@
 package stand
 
 import (
-	"container/heap"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
+	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -200,61 +201,52 @@
 type seats struct {
 	mut   sync.Mutex
 	free  int
-	seq   int
-	queue seatQueue
+	queue []*seat
 }
 
 type seat struct {
-	priority, seq int
-	ready         chan struct{}
-	index         int
+	priority int
+	ready    chan struct{}
 }
 
 // take waits for a slot and reports whether the caller stayed to get it.
 func (sts *seats) take(ctx context.Context, priority int) bool {
+	one := &seat{priority: priority, ready: make(chan struct{})}
 	sts.mut.Lock()
-	if sts.free > 0 {
-		sts.free--
-		sts.mut.Unlock()
-		return true
-	}
-	sts.seq++
-	one := &seat{priority: priority, seq: sts.seq, ready: make(chan struct{})}
-	heap.Push(&sts.queue, one)
+	at := sort.Search(len(sts.queue), func(idx int) bool { return sts.queue[idx].priority > priority })
+	sts.queue = slices.Insert(sts.queue, at, one)
+	sts.serve()
 	sts.mut.Unlock()
 	select {
 	case <-one.ready:
 		return true
 	case <-ctx.Done():
-		sts.leave(one)
-		return false
 	}
-}
-
-func (sts *seats) leave(one *seat) {
 	sts.mut.Lock()
 	defer sts.mut.Unlock()
-	if one.index >= 0 {
-		heap.Remove(&sts.queue, one.index)
-		return
+	if at := slices.Index(sts.queue, one); at >= 0 {
+		sts.queue = slices.Delete(sts.queue, at, at+1)
+		return false
 	}
-	sts.pass()
+	sts.free++
+	sts.serve()
+	return false
 }
 
 func (sts *seats) give() {
 	sts.mut.Lock()
 	defer sts.mut.Unlock()
-	sts.pass()
+	sts.free++
+	sts.serve()
 }
 
-// pass gives a returned slot to the first in the queue.
-func (sts *seats) pass() {
-	if len(sts.queue) == 0 {
-		sts.free++
-		return
+// serve gives free slots to the first in the queue.
+func (sts *seats) serve() {
+	for sts.free > 0 && len(sts.queue) > 0 {
+		sts.free--
+		close(sts.queue[0].ready)
+		sts.queue = sts.queue[1:]
 	}
-	one, _ := heap.Pop(&sts.queue).(*seat)
-	close(one.ready)
 }
 
 func (sts *seats) load(slots int) (running, waiting int) {
@@ -262,33 +254,3 @@
 	defer sts.mut.Unlock()
 	return slots - sts.free, len(sts.queue)
 }
-
-type seatQueue []*seat
-
-func (sqe seatQueue) Len() int { return len(sqe) }
-
-func (sqe seatQueue) Less(one, two int) bool {
-	if sqe[one].priority != sqe[two].priority {
-		return sqe[one].priority < sqe[two].priority
-	}
-	return sqe[one].seq < sqe[two].seq
-}
-
-func (sqe seatQueue) Swap(one, two int) {
-	sqe[one], sqe[two] = sqe[two], sqe[one]
-	sqe[one].index, sqe[two].index = one, two
-}
-
-func (sqe *seatQueue) Push(val any) {
-	one, _ := val.(*seat)
-	one.index = len(*sqe)
-	*sqe = append(*sqe, one)
-}
-
-func (sqe *seatQueue) Pop() any {
-	lst := len(*sqe) - 1
-	one := (*sqe)[lst]
-	one.index = -1
-	*sqe = (*sqe)[:lst]
-	return one
-}
