Keep SIGHUP from stopped nodes in failure runs

Cause: three failure runs ended with a stopped node found dead. The kernel sends SIGHUP to a stopped process when the shell that started the run's group ends (an orphaned process group); each case fell on the end of such a shell. Ruled out: a crash (no panic, no error in the node's log, which was kept), lack of memory, two faults drawn for one node.

--- a/cmd/hbfault/main.go
+++ b/cmd/hbfault/main.go
@@ -16,6 +16,7 @@
 type options struct {
 	Binaries  string `long:"binaries" default:"bin" description:"directory of the project's programs"`
 	Example   string `long:"example" default:"examples/tolbooth" description:"deployment"`
+	Work      string `long:"work" description:"directory in which logs and journals are kept; they are removed if not given"`
 	Schedules int    `long:"schedules" default:"50" description:"seeded schedules of faults"`
 	Orders    int    `long:"orders" default:"40" description:"orders in each schedule"`
 	Races     int    `long:"races" default:"200" description:"races of two operators"`
@@ -88,11 +89,13 @@
 }
 
 func with(opt options, env []string, use func(flt *fleet.Fleet) error) (err error) {
-	wrk, err := os.MkdirTemp("", "hbfault")
+	wrk, err := os.MkdirTemp(opt.Work, "hbfault")
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(wrk)
+	if opt.Work == "" {
+		defer os.RemoveAll(wrk)
+	}
 	flt, err := fleet.Start(fleet.Options{
 		Example:     opt.Example,
 		Binaries:    opt.Binaries,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"net/url"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -61,6 +63,9 @@
 // Start starts a deployment and waits until every process is healthy.
 func Start(opt Options) (flt *Fleet, err error) {
 	defer fault.Annotate(&err, "start fleet")
+	// The kernel sends SIGHUP to a stopped process when the shell that began the run ends;
+	// children inherit that it is ignored, so only the run's own faults end them.
+	signal.Ignore(syscall.SIGHUP)
 	flt = &Fleet{Options: opt, Upstreams: make(map[string]*Process)}
 	if err := flt.load(); err != nil {
 		return nil, err
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -28,6 +28,8 @@
 	LongestGap time.Duration
 	Late       int
 	Tokens     int
+	// Ended is set when the answer was marked as ended.
+	Ended bool
 	// Whole is set when the answer is exactly the one that the prompt must produce.
 	Whole bool
 	// Done is when the answer ended.
@@ -83,6 +85,7 @@
 			return
 		}
 		if evt.Data == "[DONE]" {
+			smp.Ended = true
 			smp.Whole = got.String() == want
 			return
 		}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -60,7 +60,7 @@
 		rsl.LongestStarvation = max(rsl.LongestStarvation, drv.starvation(knd).Seconds())
 	}
 	for _, smp := range drv.samples {
-		if smp.Status == 200 && smp.Outcome == "Ran" && !smp.Whole && smp.Done < drv.scenario.Length {
+		if smp.Ended && !smp.Whole {
 			rsl.Wrong++
 		}
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -60,6 +60,7 @@
 	sent     int
 
 	mut     sync.Mutex
+	down    map[string]bool
 	samples []Sample
 	err     error
 }
@@ -83,6 +84,7 @@
 			window: [2]time.Duration{scn.Length / 2, scn.Length},
 		},
 		capacity: float64(sum),
+		down:     make(map[string]bool),
 		slots:    make(chan struct{}, maxInFlight),
 	}
 }
@@ -128,16 +130,33 @@
 	}
 	drv.sent++
 	txt := prompt(drv.seed, drv.sent, tokens)
-	url := drv.fleet.Nodes[drv.sent%len(drv.fleet.Nodes)].URL
+	url := drv.node()
 	drv.callers.Go(func() {
 		smp := drv.caller.ask(ctx, url, knd.Class, txt)
 		<-drv.slots
 		drv.mut.Lock()
 		defer drv.mut.Unlock()
 		drv.samples = append(drv.samples, smp)
+		if smp.Status == 0 {
+			drv.down[url] = true
+		}
 	})
 }
 
+// node returns the next node in turn; like the platform's balancer it leaves out those that did not answer.
+func (drv *driver) node() (url string) {
+	drv.mut.Lock()
+	defer drv.mut.Unlock()
+	nds := drv.fleet.Nodes
+	for off := range nds {
+		url = nds[(drv.sent+off)%len(nds)].URL
+		if !drv.down[url] {
+			return url
+		}
+	}
+	return url
+}
+
 func (drv *driver) fail(err error) {
 	drv.mut.Lock()
 	defer drv.mut.Unlock()
