Move a home as soon as it is suspected

Cause: a killed node stayed home of its upstreams until it was taken for dead, some 4 s, in which its slots were divided by fair shares. Ruled out: the cut streams themselves (4 previews of 646).

--- a/internal/router/node/peers.go
+++ b/internal/router/node/peers.go
@@ -110,10 +110,14 @@
 	return hom
 }
 
+// eligible returns the members that may be an upstream's home: live ones of its region, or else any that serves.
+//
+// A suspect is no home any more: waiting for its death would leave its slots
+// divided by fair shares for seconds.
 func (prs *peers) eligible(ups router.Upstream) (nms []string) {
 	reg := prs.node.live.Get().Region(ups.FailureDomain)
 	for _, mem := range prs.view.Serving() {
-		if mem.GetRegion() == reg {
+		if mem.GetRegion() == reg && mem.GetState() == wire.MemberState_MEMBER_STATE_LIVE {
 			nms = append(nms, mem.GetName())
 		}
 	}
