Spend no retry budget on requests that found no connection

Cause: after an engine was killed, requests that could not connect to it used up the retry budgets, and others were refused as NotRun though engines were free. Ruled out: shedding (the queues were far from full). TestDeadUpstreamSpendsNoBudget passes before the change too, because a pause keeps most requests away; it stays as a guard. Also: a stopped process is seen to have stopped within 200 ms, since a signal takes a moment to reach all threads; one probe at once was too strict.

--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -19,6 +19,8 @@
 	lossLength = 1500 * time.Millisecond
 	lossShare  = 0.5
 	probeTime  = 200 * time.Millisecond
+	landTries  = 10
+	landPause  = 20 * time.Millisecond
 )
 
 // Strike is a fault that lasts until it returns; err says that it did not land.
@@ -66,12 +68,12 @@
 	if err := prc.Signal(syscall.SIGSTOP); err != nil {
 		return errors.Wrapf(err, "its log ends with %s", tail(prc.Log()))
 	}
-	answers := answering(prc.URL + "/healthz")
+	lnd := landed(prc.URL + "/healthz")
 	time.Sleep(stopLength)
 	if err := prc.Signal(syscall.SIGCONT); err != nil {
 		return err
 	}
-	if answers {
+	if !lnd {
 		return errors.New("it answered while it was stopped")
 	}
 	return nil
@@ -89,12 +91,12 @@
 	if err := fleet.Control(prc, stand.Faults{Refuse: true}); err != nil {
 		return err
 	}
-	answers := answering(prc.URL + stand.HealthPath)
+	lnd := landed(prc.URL + stand.HealthPath)
 	time.Sleep(downLength)
 	if err := fleet.Control(prc, stand.Faults{}); err != nil {
 		return err
 	}
-	if answers {
+	if !lnd {
 		return errors.New("it answered while it was down")
 	}
 	return nil
@@ -120,6 +122,17 @@
 	return fleet.Control(prc, stand.Faults{})
 }
 
+// landed reports whether a fault makes a process stop answering; a signal takes a moment to reach all its threads.
+func landed(url string) bool {
+	for range landTries {
+		if !answering(url) {
+			return true
+		}
+		time.Sleep(landPause)
+	}
+	return false
+}
+
 func answering(url string) bool {
 	return fleet.Healthy(context.Background(), url, probeTime)
 }
--- a/internal/router/node/path_test.go
+++ b/internal/router/node/path_test.go
@@ -308,6 +308,23 @@
 	}
 }
 
+// TestDeadUpstreamSpendsNoBudget sends many requests while one of two engines accepts no connection.
+func TestDeadUpstreamSpendsNoBudget(t *testing.T) {
+	pth := newPath(t, quick, 2, nil)
+	doc := *pth.node.options.Document
+	adr, _ := pth.node.live.Get().Upstream("engine-0")
+	doc.Base.Text = strings.Replace(doc.Base.Text, adr.Address, "http://127.0.0.1:1", 1)
+	if err := pth.node.installDocument(doc); err != nil {
+		t.Fatal(err)
+	}
+	var grp sync.WaitGroup
+	for num := range 60 {
+		prompt := fmt.Sprint("tokens=2 number ", num)
+		grp.Go(func() { pth.mustBeWhole(pth.chat("preview", prompt), prompt) })
+	}
+	grp.Wait()
+}
+
 // TestSilentConnection makes the open connections fall silent in the middle of a stream.
 func TestSilentConnection(t *testing.T) {
 	pth := newPath(t, stand.EngineOptions{Slots: 4, Gap: 20 * time.Millisecond, Prefill: time.Millisecond}, 1, nil)
--- a/internal/router/runner/attempt.go
+++ b/internal/router/runner/attempt.go
@@ -60,6 +60,8 @@
 	answer *router.Answer
 	// crashed is set when the upstream no longer accepts connections.
 	crashed bool
+	// unsent is set when no connection was obtained.
+	unsent bool
 }
 
 // attempt is one try of a session on one granted slot.
@@ -222,7 +224,7 @@
 	if cse := context.Cause(att.context); cse != nil {
 		err = cse
 	}
-	res := result{ending: endFailed, err: err}
+	res := result{ending: endFailed, err: err, unsent: !sent}
 	switch {
 	case errors.Is(err, errRecalled):
 		res.ending = endRecalled
--- a/internal/router/runner/run.go
+++ b/internal/router/runner/run.go
@@ -98,11 +98,11 @@
 
 // mayRetry reports whether a failed request gets another attempt.
 //
-// Requests that a crash or a silent connection cut off put no load on what
-// still works beyond their own, so their number alone is bounded; all other
-// retries spend the budgets.
+// Requests that a crash or a silent connection cut off, or that found no
+// connection, put no load on what still works beyond their own, so their number
+// alone is bounded; all other retries spend the budgets.
 func (run *Runner) mayRetry(ses *session, res result) bool {
-	if res.crashed || res.silent() {
+	if res.crashed || res.silent() || res.unsent {
 		ses.losses++
 		return ses.losses <= maxLosses
 	}
