--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -69,7 +69,7 @@
 // chat sends a chat request through a node and compares the answer with what the engine must produce.
 func (shw *show) chat(node int, class, model, prompt string, stream bool) (err error) {
 	defer fault.Annotatef(&err, "class %s", class)
-	ans, err := shw.Chat(node, class, model, prompt, stream)
+	ans, err := shw.ask(node, class, model, prompt, stream)
 	if err != nil {
 		return err
 	}
@@ -89,12 +89,12 @@
 	pol := shw.fleet.Config.Pools[1]
 	pth := "/services/" + pol.Name + pol.Operations[0].Path
 	key := "demo-order-1"
-	fst, err := shw.Order(2, pth, key)
+	fst, err := shw.place(2, pth, key)
 	if err != nil {
 		return err
 	}
 	shw.print("order", fst)
-	snd, err := shw.Order(3, pth, key)
+	snd, err := shw.place(3, pth, key)
 	if err != nil {
 		return err
 	}
@@ -127,8 +127,8 @@
 	return txt[:abridged] + "..."
 }
 
-// Chat sends one chat request through a node.
-func (shw *show) Chat(node int, class, model, prompt string, stream bool) (ans Answer, err error) {
+// ask sends one chat request through a node.
+func (shw *show) ask(node int, class, model, prompt string, stream bool) (ans Answer, err error) {
 	bdy, err := json.Marshal(map[string]any{
 		"model":    model,
 		"stream":   stream,
@@ -140,8 +140,8 @@
 	return shw.send(node, "/v1/chat/completions", bdy, map[string]string{router.HeaderClass: class}, chatText)
 }
 
-// Order sends one order through a node.
-func (shw *show) Order(node int, path, key string) (ans Answer, err error) {
+// place sends one order through a node.
+func (shw *show) place(node int, path, key string) (ans Answer, err error) {
 	hdr := map[string]string{router.HeaderClass: shw.fleet.Config.Classes[1].Name, router.HeaderOrderKey: key}
 	return shw.send(node, path, []byte(`{"Prints":12}`), hdr, plainText)
 }
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -41,6 +41,9 @@
 // Start runs the process and waits until it is healthy.
 func (prc *Process) Start() (err error) {
 	defer fault.Annotatef(&err, "start %s", prc.Name)
+	if Healthy(context.Background(), prc.health, pollTimeout) {
+		return errors.Errorf("%s is answered already; is another run under way?", prc.health)
+	}
 	log, err := os.OpenFile(filepath.Join(prc.dir, prc.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/internal/router/iface.go
+++ b/internal/router/iface.go
@@ -91,12 +91,6 @@
 	Failed bool
 	// Slow is set when the request was moved away or overtaken because the upstream was slow.
 	Slow bool
-	// FirstToken is the time from sending to the first token; zero when there was none.
-	FirstToken time.Duration
-	// Tokens is the number of tokens that arrived.
-	Tokens int
-	// Elapsed is the time that the slot was held.
-	Elapsed time.Duration
 }
 
 // Grant is a slot on an upstream.
@@ -152,8 +146,6 @@
 type Candidate struct {
 	Upstream Upstream
 	InFlight int
-	// Limit is the number of requests this node may have in flight there.
-	Limit int
 	// Slowdown is the observed token gap relative to the pool's median; 1 is usual.
 	Slowdown float64
 	// Remote is set when the upstream is in another region.
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/google/uuid"
@@ -168,7 +169,26 @@
 		Log:     nod.options.Log,
 		Ready:   nod.Ready,
 	})
-	nod.closers = append(nod.closers, stop, nod.runner.Close, nod.scheduler.Close, nod.relay.Close)
+	gau := nod.options.Timers.Every(gaugePeriod, nod.setGauges)
+	nod.closers = append(nod.closers, gau, stop, nod.runner.Close, nod.scheduler.Close, nod.relay.Close)
+}
+
+// gaugePeriod is how often the gauges are set.
+const gaugePeriod = time.Second
+
+// setGauges shows what the node knows of its upstreams, and what it sent to and got from its peers.
+func (nod *Node) setGauges(time.Time) {
+	for _, ups := range nod.scheduler.Status() {
+		nod.meter.Gauge("in_flight", ups.Pool, ups.Upstream, float64(ups.InFlight))
+		nod.meter.Gauge("slot_limit", ups.Pool, ups.Upstream, float64(ups.Limit))
+		nod.meter.Gauge("waiting", ups.Pool, ups.Upstream, float64(ups.Waiting))
+		nod.meter.Gauge("slowdown", ups.Pool, ups.Upstream, ups.Slowdown)
+	}
+	if nod.peers != nil {
+		trf := nod.peers.endpoint.Traffic()
+		nod.meter.Gauge("peer_sent_bytes", "", "", float64(trf.SentBytes))
+		nod.meter.Gauge("peer_received_bytes", "", "", float64(trf.ReceivedBytes))
+	}
 }
 
 // Ready reports whether the node takes traffic.
--- a/internal/router/pick/pick_test.go
+++ b/internal/router/pick/pick_test.go
@@ -10,7 +10,7 @@
 
 func candidate(num, inFlight int, slow float64, remote bool) router.Candidate {
 	ups := router.Upstream{Name: fmt.Sprint("u", num), Slots: 8}
-	return router.Candidate{Upstream: ups, InFlight: inFlight, Limit: 8, Slowdown: slow, Remote: remote}
+	return router.Candidate{Upstream: ups, InFlight: inFlight, Slowdown: slow, Remote: remote}
 }
 
 func TestObserved(t *testing.T) {
--- a/internal/router/runner/attempt.go
+++ b/internal/router/runner/attempt.go
@@ -72,7 +72,6 @@
 	number  int
 	context context.Context
 	cancel  context.CancelCauseFunc
-	started time.Time
 	// last is the time of the last event in Unix nanoseconds.
 	last atomic.Int64
 	// first is set when the first token has come, at firstAt in Unix nanoseconds; relayed counts the tokens.
@@ -83,7 +82,6 @@
 	// held is the event before the first token, kept until the attempt has won.
 	held   string
 	tokens int
-	ttft   time.Duration
 }
 
 // recallHook lets a grant's recall reach an attempt that is made after the grant.
@@ -118,11 +116,8 @@
 	res = att.exchange()
 	res.attempt = att
 	att.grant.Release(router.Result{
-		Failed:     res.ending == endFailed,
-		Slow:       res.ending == endSlow || res.ending == endLost && att.tokens == 0,
-		FirstToken: att.ttft,
-		Tokens:     att.tokens,
-		Elapsed:    att.runner.now().Sub(att.started),
+		Failed: res.ending == endFailed,
+		Slow:   res.ending == endSlow || res.ending == endLost && att.tokens == 0,
 	})
 	att.cancel(nil)
 	return res
@@ -207,7 +202,6 @@
 	att.relayed.Add(1)
 	if att.tokens == 1 {
 		att.firstAt.Store(now.UnixNano())
-		att.ttft = now.Sub(att.started)
 		att.grant.Progress(0)
 		return
 	}
--- a/internal/router/runner/service.go
+++ b/internal/router/runner/service.go
@@ -89,9 +89,8 @@
 
 // once sends a call on a granted slot, reads the whole answer and returns the slot.
 func (run *Runner) once(ctx context.Context, grt router.Grant, cal relay.Call) (snt order.Sent) {
-	beg := run.now()
 	defer func() {
-		grt.Release(router.Result{Failed: snt.Err != nil, Elapsed: run.now().Sub(beg)})
+		grt.Release(router.Result{Failed: snt.Err != nil})
 	}()
 	ups := grt.Upstream()
 	ctx, cancel := context.WithTimeout(ctx, run.options.Live.Get().Limits.OrderTimeout)
--- a/internal/router/runner/watch.go
+++ b/internal/router/runner/watch.go
@@ -102,9 +102,8 @@
 		number:  int(ses.attempts.Add(1)),
 		context: ctx,
 		cancel:  cancel,
-		started: run.now(),
 	}
-	att.last.Store(att.started.UnixNano())
+	att.last.Store(run.now().UnixNano())
 	slt.hook.bind(cancel)
 	return att
 }
--- a/internal/router/sched/pool.go
+++ b/internal/router/sched/pool.go
@@ -111,7 +111,6 @@
 		can = append(can, router.Candidate{
 			Upstream: one.spec,
 			InFlight: one.total(),
-			Limit:    lim,
 			Slowdown: one.pace.slowdown(now, med),
 			Remote:   one.remote,
 		})
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -135,13 +136,19 @@
 	return true
 }
 
-// Status describes every upstream of a pool.
+// Status describes every upstream, by pool and name.
 func (sch *Scheduler) Status() (sts []UpstreamStatus) {
 	sch.mut.RLock()
 	defer sch.mut.RUnlock()
 	for _, pol := range sch.pools {
 		sts = append(sts, pol.status()...)
 	}
+	sort.Slice(sts, func(one, two int) bool {
+		if sts[one].Pool != sts[two].Pool {
+			return sts[one].Pool < sts[two].Pool
+		}
+		return sts[one].Upstream < sts[two].Upstream
+	})
 	return sts
 }
 
