--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -108,7 +108,9 @@
 			vws[(rnd+1)%size].Merge([]*wire.Member{replaced}, tms.Now())
 		}
 		tms.Advance(gossip.Period)
-		settle(net)
+		for _, gos := range net.nodes {
+			gos.Wait()
+		}
 	}
 	use := cpu() - beg
 	for _, stop := range stops {
@@ -123,14 +125,6 @@
 	}
 }
 
-// settle waits until no more messages are counted.
-func settle(net *network) {
-	for last := int64(-1); last != net.messages.Load(); {
-		last = net.messages.Load()
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
 // Decisions measures a home's division by the number of holders of an upstream.
 func Decisions() (slp Slope) {
 	slp = Slope{Name: "Slot decision at a home", Unit: "holders", Columns: []string{"CPU us/report", "state B/upstream"}}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/vmlist"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
+)
+
+// planStands plans a stand-in for everything around the nodes.
+func (flt *Fleet) planStands() error {
+	opt := flt.Options
+	for _, pol := range flt.Config.Pools {
+		for _, ups := range pol.Upstreams {
+			ars := []string{
+				"engine", "--slots", strconv.Itoa(ups.Slots), "--gap", opt.Gap.String(),
+				"--prefill", opt.Prefill.String(), "--crash-on", opt.CrashOn,
+			}
+			if pol.Kind == router.Service {
+				ars = []string{"service", "--name", ups.Name, "--work", opt.ServiceWork.String(), "--journal", flt.journal(ups.Name)}
+			}
+			flt.Upstreams[ups.Name] = flt.stand(ups.Name, ups.Address, ars...)
+		}
+	}
+	set := flt.Settings[0]
+	vms := filepath.Join(opt.Work, "vms.json")
+	raw, err := json.Marshal(flt.vmGroups())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(vms, raw, 0o600); err != nil {
+		return err
+	}
+	flt.Table = flt.stand("table", set.Table.Endpoint, "table")
+	flt.Objects = flt.stand("object", set.Objects.Endpoint, "object")
+	lst, err := url.Parse(set.VMList.URL)
+	if err != nil {
+		return err
+	}
+	flt.VMs = flt.stand("vms", "http://"+lst.Host, "vms", "--file", vms)
+	return nil
+}
+
+func (flt *Fleet) vmGroups(leaving ...string) (gps []vmlist.Group) {
+	sta := make(map[string]string)
+	for _, nam := range leaving {
+		sta[nam] = vmlist.StateLeaving
+	}
+	add := func(rol, nam, adr string) {
+		lab := map[string]string{vmlist.LabelRole: rol, vmlist.LabelName: nam, vmlist.LabelState: vmlist.StateLive}
+		if val, fnd := sta[nam]; fnd {
+			lab[vmlist.LabelState] = val
+		}
+		gps = append(gps, vmlist.Group{Targets: []string{adr}, Labels: lab})
+	}
+	for _, nod := range flt.Settings {
+		add(vmlist.RoleNode, nod.Name, nod.Peer)
+	}
+	for _, pol := range flt.Config.Pools {
+		for _, ups := range pol.Upstreams {
+			add(vmlist.RoleUpstream, ups.Name, hostOf(ups.Address))
+		}
+	}
+	return gps
+}
+
+func hostOf(address string) string {
+	adr, err := url.Parse(address)
+	if err != nil {
+		return address
+	}
+	return adr.Host
+}
+
+func (flt *Fleet) journal(name string) string {
+	return filepath.Join(flt.Options.Work, name+".journal")
+}
+
+func (flt *Fleet) stand(name, address string, args ...string) *Process {
+	return &Process{
+		Name:   name,
+		URL:    address,
+		health: address + stand.HealthPath,
+		binary: filepath.Join(flt.Options.Binaries, "hbstand"),
+		args:   append(args, "--listen", hostOf(address)),
+		dir:    flt.Options.Work,
+	}
+}
+
+func (flt *Fleet) node(nod conf.Node, file string) *Process {
+	ovls := flt.overlays()
+	ars := make([]string, 0, 5+2*len(ovls))
+	ars = append(ars, "serve", "--node", file, "--base", flt.base())
+	for _, ovl := range ovls {
+		ars = append(ars, "--overlay", ovl)
+	}
+	return &Process{
+		Name:   nod.Name,
+		URL:    "http://" + nod.Listen,
+		health: "http://" + nod.Listen + "/readyz",
+		binary: filepath.Join(flt.Options.Binaries, "hornbeamdyke"),
+		args:   ars,
+		dir:    flt.Options.Work,
+		env:    append([]string{"HORNBEAMDYKE_STORE_KEY=demo", "HORNBEAMDYKE_STORE_SECRET=demo"}, flt.Options.Env...),
+	}
+}
+
+func (flt *Fleet) stands() (prs []*Process) {
+	for _, prc := range flt.Upstreams {
+		prs = append(prs, prc)
+	}
+	for _, prc := range []*Process{flt.Table, flt.Objects, flt.VMs} {
+		if prc != nil {
+			prs = append(prs, prc)
+		}
+	}
+	return prs
+}
+
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -64,6 +64,8 @@
 	mut     sync.Mutex
 	rnd     *rand.Rand
 	round   int
+	// probes are those under way.
+	probes sync.WaitGroup
 }
 
 // New returns a Gossip that answers but does not probe yet.
@@ -76,6 +78,11 @@
 	return gos.options.Timers.Every(Period, gos.tick)
 }
 
+// Wait returns when no probe of a past round is under way.
+func (gos *Gossip) Wait() {
+	gos.probes.Wait()
+}
+
 // Join asks the seeds for their views, and reports whether any answered.
 func (gos *Gossip) Join(ctx context.Context) (joined bool) {
 	slf := gos.options.View.Self().GetPeer()
@@ -141,19 +148,19 @@
 	ctx := context.Background()
 	fgs := gos.fingers()
 	if len(fgs) == 0 {
-		go gos.Join(ctx)
+		gos.probes.Go(func() { gos.Join(ctx) })
 	}
 	for idx := range min(probesPerRound, len(fgs)) {
-		go gos.judge(ctx, fgs[(rnd*probesPerRound+idx)%len(fgs)])
+		gos.probes.Go(func() { gos.judge(ctx, fgs[(rnd*probesPerRound+idx)%len(fgs)]) })
 	}
 	if rms := gos.remote(); len(rms) > 0 {
-		go gos.probe(ctx, rms[rnd%len(rms)])
+		gos.probes.Go(func() { gos.probe(ctx, rms[rnd%len(rms)]) })
 	}
 	if rnd%reviveRounds == 0 {
-		go gos.revive(ctx)
+		gos.probes.Go(func() { gos.revive(ctx) })
 	}
 	if rnd%fullRounds == 0 && gos.options.View.Quiet(now, quietTime) || rnd%forcedRounds == 0 {
-		go gos.compare(ctx)
+		gos.probes.Go(func() { gos.compare(ctx) })
 	}
 	gos.options.Changed()
 }
