--- a/internal/chaos/judge.go
+++ b/internal/chaos/judge.go
@@ -13,6 +13,8 @@
 // Verdict is what the judge found.
 type Verdict struct {
 	Orders, Sendings, Ran, NotRun, Unknown, Cut int
+	// Open counts the orders of whose sendings none was told Ran and some Unknown.
+	Open int
 	// Twice names orders that were executed more than once.
 	Twice []string
 	// Misled names sendings that were told NotRun and were executed.
@@ -31,8 +33,8 @@
 // String returns one line.
 func (ver Verdict) String() string {
 	return fmt.Sprintf("%d orders in %d sendings: %d Ran, %d NotRun, %d Unknown, %d without an answer; "+
-		"executed twice %d, misled %d, wrong answers %d, answered and not executed %d",
-		ver.Orders, ver.Sendings, ver.Ran, ver.NotRun, ver.Unknown, ver.Cut,
+		"%d orders left unknown; executed twice %d, misled %d, wrong answers %d, answered and not executed %d",
+		ver.Orders, ver.Sendings, ver.Ran, ver.NotRun, ver.Unknown, ver.Cut, ver.Open,
 		len(ver.Twice), len(ver.Misled), len(ver.Wrong), len(ver.Ghosts))
 }
 
@@ -47,13 +49,19 @@
 			byRequest[exe.Request] = true
 		}
 	}
-	keys := make(map[string]bool)
+	ran, unknown := make(map[string]bool), make(map[string]bool)
 	for _, one := range tld {
-		keys[one.Key] = true
 		ver.Sendings++
 		ver.add(one, exs[one.Key], byRequest[one.Request])
+		ran[one.Key] = ran[one.Key] || one.Outcome == router.Ran
+		unknown[one.Key] = unknown[one.Key] || one.Cut || one.Outcome == router.Unknown
+	}
+	ver.Orders = len(ran)
+	for key := range ran {
+		if unknown[key] && !ran[key] {
+			ver.Open++
+		}
 	}
-	ver.Orders = len(keys)
 	return ver
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -122,4 +122,3 @@
 	}
 	return prs
 }
-
--- /dev/null
+++ b/internal/router/limit/limit_test.go
@@ -0,0 +1,46 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/limit"
+)
+
+func TestGate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spc := router.Workspace{Name: "w", RequestRate: 12, Burst: 6, InFlight: 4}
+	for name, tst := range map[string]struct {
+		nodes int
+		// leave returns each admission at once.
+		leave bool
+		want  int
+	}{
+		"in flight, one node":    {nodes: 1, want: 4},
+		"in flight, two nodes":   {nodes: 2, want: 2},
+		"burst, one node":        {nodes: 1, leave: true, want: 6},
+		"burst, three nodes":     {nodes: 3, leave: true, want: 2},
+		"at least one each node": {nodes: 100, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gat := limit.NewGate()
+			gat.Configure([]router.Workspace{spc})
+			gat.SetNodes(tst.nodes)
+			got := 0
+			for range 20 {
+				lev, err := gat.Enter("w", now)
+				if err != nil {
+					continue
+				}
+				got++
+				if tst.leave {
+					lev()
+				}
+			}
+			if got != tst.want {
+				t.Fatalf("%d admitted, want %d", got, tst.want)
+			}
+		})
+	}
+}
