--- /dev/null
+++ b/internal/router/admin/admin_test.go
@@ -0,0 +1,129 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/admin"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/burn"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/entry"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/memtab"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/revise"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+// fakeNode accepts changes into a store and has the newest in force.
+type fakeNode struct {
+	store   *revise.Store
+	current *wire.Revision
+	drained bool
+}
+
+func (nod *fakeNode) Status() admin.Status          { return admin.Status{Node: "n", Ready: true} }
+func (nod *fakeNode) Configuration() *wire.Revision { return nod.current }
+func (nod *fakeNode) Burn() burn.Report             { return burn.Report{Node: "n"} }
+func (nod *fakeNode) Drain()                        { nod.drained = true }
+
+func (nod *fakeNode) History(context.Context, int) (rvs []*wire.Revision, err error) {
+	return []*wire.Revision{nod.current}, nil
+}
+
+func (nod *fakeNode) Accept(ctx context.Context, rev *wire.Revision, base uint64) (num uint64, err error) {
+	doc := conf.Document{Base: conf.Source{File: "base.yaml", Text: rev.GetBase().GetText()}}
+	if _, err := doc.Evaluate(); err != nil {
+		return 0, err
+	}
+	num, err = nod.store.Accept(ctx, rev, base)
+	if err != nil {
+		return 0, err
+	}
+	nod.current, err = nod.store.Get(ctx, num)
+	return num, err
+}
+
+const good = `Deployment: d
+FailureDomains: [{Name: here, Region: home}]
+Classes: [{Name: c, Tier: 0, FirstToken: 1s, Objective: 0.9, MinimumShare: 0.1}]
+Pools: [{Name: p, Kind: Engine, Models: [m], Upstreams: [{Name: u, FailureDomain: here, Address: "http://127.0.0.1:1", Slots: 8}]}]
+`
+
+func newAPI() (han http.Handler, nod *fakeNode) {
+	nod = &fakeNode{store: revise.NewStore(memtab.NewTable())}
+	cfg := conf.DefaultConfig()
+	cfg.Operators = []conf.Operator{
+		{Name: "ann", KeyDigest: entry.KeyDigest("editor"), Role: conf.Editor},
+		{Name: "bob", KeyDigest: entry.KeyDigest("viewer"), Role: conf.Viewer},
+	}
+	cfg.Workspaces = []router.Workspace{{Name: "w", KeyDigests: []string{"secret"}}}
+	api := admin.New(admin.Options{
+		Live: conf.NewLive(cfg), Node: nod, Metrics: http.NotFoundHandler(), Log: slog.New(slog.DiscardHandler),
+		Ready: func() bool { return true },
+	})
+	return api.Handler(), nod
+}
+
+func send(han http.Handler, method, path, key, body string, hdr map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+key)
+	for nam, val := range hdr {
+		req.Header.Set(nam, val)
+	}
+	rec := httptest.NewRecorder()
+	han.ServeHTTP(rec, req)
+	return rec
+}
+
+func change(t *testing.T, id, text string) string {
+	t.Helper()
+	raw, err := json.Marshal(admin.Change{ID: id, Base: conf.Source{File: "base.yaml", Text: text}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+// TestCalls sends calls in a fixed order to one API, because each builds on what was accepted before.
+func TestCalls(t *testing.T) {
+	han, nod := newAPI()
+	const cfg, wsp = admin.Prefix + "/configuration", admin.Prefix + "/workspaces/new"
+	member := `{"KeyDigests":["` + entry.KeyDigest("k") + `"],"RequestRate":1,"Burst":1,"InFlight":1,"Classes":["c"]}`
+	edit := map[string]string{"Hornbeamdyke-Change": "four", "Hornbeamdyke-Against": "1"}
+	for _, stp := range []struct {
+		name, method, path, key, body string
+		header                        map[string]string
+		status                        int
+		want                          string
+	}{
+		{"no key", "GET", admin.Prefix + "/status", "", "", nil, 401, "InvalidKey"},
+		{"a viewer reads", "GET", admin.Prefix + "/status", "viewer", "", nil, 200, `"Ready":true`},
+		{"a viewer changes nothing", "POST", cfg, "viewer", change(t, "one", good), nil, 403, "RoleNotAllowed"},
+		{"no revision yet", "GET", cfg, "viewer", "", nil, 404, "NotFound"},
+		{"an invalid change names its faults", "POST", cfg, "editor", change(t, "one", good+"Colour: red\n"), nil, 422, "base.yaml:5:1: Colour: field Colour not allowed"},
+		{"a change without an identifier", "POST", cfg, "editor", change(t, "", good), nil, 400, "needs an ID"},
+		{"a change", "POST", cfg, "editor", change(t, "one", good), nil, 200, `"Number":1`},
+		{"the same change again", "POST", cfg, "editor", change(t, "one", good), nil, 200, `"Number":1`},
+		{"a change that lost", "POST", cfg, "editor", change(t, "two", good), nil, 409, `"Head":1`},
+		{"its author is kept", "GET", cfg, "viewer", "", nil, 200, `"Author":"ann"`},
+		{"a workspace against nothing", "PUT", wsp, "editor", member, nil, 400, "must name the revision"},
+		{"a workspace", "PUT", wsp, "editor", member, edit, 200, `"Number":2`},
+		{"a workspace that is not there", "DELETE", admin.Prefix + "/workspaces/none", "editor", "", map[string]string{"Hornbeamdyke-Change": "five", "Hornbeamdyke-Against": "2"}, 404, "NotFound"},
+		{"workspaces are listed", "GET", admin.Prefix + "/workspaces", "viewer", "", nil, 200, `["w"]`},
+		{"without their keys", "GET", admin.Prefix + "/workspaces/w", "viewer", "", nil, 200, `"KeyDigests":null`},
+		{"a drain", "POST", admin.Prefix + "/drain", "editor", "", nil, 202, "{}"},
+	} {
+		rec := send(han, stp.method, stp.path, stp.key, stp.body, stp.header)
+		if rec.Code != stp.status || !strings.Contains(rec.Body.String(), stp.want) {
+			t.Fatalf("%s: status %d, want %d with %q: %s", stp.name, rec.Code, stp.status, stp.want, rec.Body)
+		}
+	}
+	if !nod.drained || !strings.Contains(nod.current.GetBase().GetText(), "Name: new") {
+		t.Fatalf("drained %v, in force %s", nod.drained, nod.current.GetBase().GetText())
+	}
+}
