--- a/cmd/hbfault/main.go
+++ b/cmd/hbfault/main.go
@@ -69,6 +69,11 @@
 	if err := chaos.Configurations(out, flt, opt.Races); err != nil {
 		return err
 	}
+	cra, err := chaos.Poison(flt)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "a crashing request, repeated through all nodes: %d engines crashed, then refused as NotRun\n", cra)
 	last, err := chaos.Leaving(flt)
 	if err != nil {
 		return err
@@ -103,6 +108,7 @@
 		Gap:         20 * time.Millisecond,
 		Prefill:     40 * time.Millisecond,
 		ServiceWork: 20 * time.Millisecond,
+		CrashOn:     chaos.PoisonText,
 		Env:         env,
 	})
 	if err != nil {
