Tell callers of unreadable requests that nothing was run

Cause: net/http refuses malformed requests by itself, without an outcome. Ruled out: a handler, since none is called. Before: status 400 or 431 without Hornbeamdyke-Outcome. After: TestMalformedRequests gets NotRun for five kinds. Conclusion: kept; the wrapper touches the server's own refusals only.

--- a/internal/router/node/serve.go
+++ b/internal/router/node/serve.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/entry"
 )
 
 const headerTimeout = 10 * time.Second
@@ -55,7 +56,7 @@
 	srv = &http.Server{Handler: han, ReadHeaderTimeout: headerTimeout}
 	end := make(chan struct{})
 	grp.Add(func() error {
-		err := srv.Serve(lis)
+		err := srv.Serve(entry.Listen(lis))
 		if errors.Is(err, http.ErrServerClosed) {
 			// A planned stop closed the listener; the stop actor ends the group.
 			<-end
