--- a/internal/chaos/caller.go
+++ b/internal/chaos/caller.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// keyPrefix and a workspace's name make the workspace's key in the examples.
-	keyPrefix = "demo-key-of-"
 	// patience is how long a caller waits for an order's answer before it sends it again.
 	patience = 4 * time.Second
 )
@@ -48,7 +46,7 @@
 	return &Callers{
 		fleet:  flt,
 		client: &http.Client{Timeout: patience},
-		key:    keyPrefix + flt.Config.Workspaces[0].Name,
+		key:    fleet.KeyPrefix + flt.Config.Workspaces[0].Name,
 		path:   "/services/" + pol.Name + pol.Operations[0].Path,
 	}
 }
--- a/internal/chaos/config.go
+++ b/internal/chaos/config.go
@@ -67,7 +67,7 @@
 }
 
 func (pub *publisher) target(idx int) query.Target {
-	return query.Target{Address: "http://" + pub.fleet.Settings[idx].Admin, Key: keyPrefix + "on-call"}
+	return query.Target{Address: "http://" + pub.fleet.Settings[idx].Admin, Key: fleet.KeyPrefix + "on-call"}
 }
 
 // change returns a whole configuration that differs by a comment.
--- a/internal/chaos/leave.go
+++ b/internal/chaos/leave.go
@@ -113,7 +113,7 @@
 }
 
 func newBalancer(flt *fleet.Fleet) *balancer {
-	bal := &balancer{fleet: flt, key: keyPrefix + flt.Config.Workspaces[0].Name, done: make(chan struct{})}
+	bal := &balancer{fleet: flt, key: fleet.KeyPrefix + flt.Config.Workspaces[0].Name, done: make(chan struct{})}
 	bal.look()
 	go func() {
 		for !bal.closed() {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,11 +20,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
 )
 
-const (
-	timeout = 30 * time.Second
-	// KeyPrefix and a workspace's name make the workspace's key in the examples.
-	KeyPrefix = "demo-key-of-"
-)
+const timeout = 30 * time.Second
 
 // Answer is what a caller got.
 type Answer struct {
@@ -44,7 +40,7 @@
 	}
 	defer flt.Stop()
 	fmt.Fprintf(out, "%s: %d nodes, %d processes\n", flt.Config.Deployment, len(flt.Nodes), flt.Processes())
-	shw := &show{out: out, fleet: flt, key: KeyPrefix + flt.Config.Workspaces[0].Name}
+	shw := &show{out: out, fleet: flt, key: fleet.KeyPrefix + flt.Config.Workspaces[0].Name}
 	return shw.all()
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,9 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
 )
 
+// KeyPrefix and the name of a workspace or operator make its key in the examples.
+const KeyPrefix = "demo-key-of-"
+
 // Options are what a Fleet is started from.
 type Options struct {
 	// Example is the directory of the deployment's settings.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -20,8 +20,6 @@
 	drainTime = 10 * time.Second
 	// tick is the step by which arrivals are planned.
 	tick = time.Millisecond
-	// keyPrefix and a workspace's name make the workspace's key in the examples.
-	keyPrefix = "demo-key-of-"
 	// maxInFlight bounds the callers of one run.
 	maxInFlight = 8000
 )
@@ -79,7 +77,7 @@
 		kinds:    Kinds(flt.Config.Classes),
 		caller: &caller{
 			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
-			key:    keyPrefix + flt.Config.Workspaces[0].Name,
+			key:    fleet.KeyPrefix + flt.Config.Workspaces[0].Name,
 			model:  pol.Models[0],
 			window: [2]time.Duration{scn.Length / 2, scn.Length},
 		},
--- a/internal/router/entry/entry.go
+++ b/internal/router/entry/entry.go
@@ -107,7 +107,7 @@
 
 func (ent *Entry) admit(vis *visit, opn func(vis *visit) error) (err error) {
 	if vis.state == nil {
-		return router.Refuse(http.StatusServiceUnavailable, router.CodeStopping, "the node has no configuration yet")
+		return router.Refuse(http.StatusServiceUnavailable, router.CodeNotReady, "the node has no configuration yet")
 	}
 	vis.workspace, err = vis.state.workspace(vis.request)
 	if err != nil {
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -47,7 +47,7 @@
 	CodeRate          = "rate_limited"
 	CodeShed          = "queue_full"
 	CodeDeadline      = "deadline_exceeded"
-	CodeStopping      = "node_stopping"
+	CodeNotReady      = "node_not_ready"
 	CodeUpstream      = "upstream_failed"
 	CodeNoUpstream    = "no_upstream"
 	CodeQuarantined   = "request_quarantined"
