Serve the platform's upstreams through an adapter in platform/

Cause: nothing of the project ran on the users' machines. The node in router/edge follows the operators' manifest and the upstreams' records, judges each request, and carries it through router/send. platform/ only translates: records generated from rows.proto, headers in dialect.go.

Ruled out: the library's transport for upstreams. It repeats requests on its own and does not tell whether bytes were sent, so router/link keeps connections over the library's reader and writer of HTTP.

No tests of the new packages yet; they follow.

--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -7,8 +7,10 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/logs"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/edge"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/node"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+	plat "github.com/hornbeamdyke/hornbeamdyke/platform"
 )
 
 // The environment variables with the credentials for the platform's stores.
@@ -42,12 +44,23 @@
 	if cmd.Debug {
 		lvl = slog.LevelDebug
 	}
+	log := logs.New(os.Stderr, lvl).With("Node", set.Name)
+	if set.Platform.Store != "" {
+		return edge.New(edge.Options{
+			Settings: set,
+			Timers:   timer.Real{},
+			Log:      log,
+			Source:   plat.NewStore(set.Platform.Store),
+			Codec:    plat.Codec{},
+			Dialect:  plat.Dialect{},
+		}).Run()
+	}
 	nod, err := node.New(node.Options{
 		Settings:    set,
 		File:        cmd.Node,
 		Document:    doc,
 		Timers:      timer.Real{},
-		Log:         logs.New(os.Stderr, lvl).With("Node", set.Name),
+		Log:         log,
 		Unprotected: os.Getenv(envUnprotected) != "",
 		Credentials: node.Credentials{Key: os.Getenv(envStoreKey), Secret: os.Getenv(envStoreSecret)},
 	})
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -122,6 +122,26 @@
 	// Objects is the object store.
 	Objects Objects
 	VMList  VMList
+	// Platform makes the node serve the upstreams that a platform's store names.
+	Platform Platform
+}
+
+// Platform is what a node needs to know of the platform that it runs on.
+type Platform struct {
+	// Store is the address of the metadata store; empty means that there is no platform.
+	Store string
+	// FailureDomains are all failure domains with their regions.
+	FailureDomains []router.FailureDomain
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// RetryShare is the number of repeated sendings that all nodes together may make per call, from 0 to 1.
+	RetryShare float64
+	// RetryReserve is the number of repeated sendings that all nodes together may make in a window beyond RetryShare.
+	RetryReserve float64
+	// RetryWindow is the length of that window.
+	RetryWindow time.Duration
+	// MemoryMebibytes is the memory that the process may use.
+	MemoryMebibytes int
 }
 
 // TLS names the files of the node's certificate, its key and the authority of its peers.
@@ -203,5 +223,9 @@
 		Table:   Table{Kind: Memory, Region: "local", Name: "hornbeamdyke", Timeout: 2 * time.Second},
 		Objects: Objects{Kind: Memory, Region: "local", Bucket: "hornbeamdyke", Timeout: 5 * time.Second},
 		VMList:  VMList{Interval: time.Second},
+		Platform: Platform{
+			Grace:       8 * time.Second,
+			RetryWindow: 10 * time.Second,
+		},
 	}
 }
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Refusal is an error that a caller is told, with its HTTP status and outcome.
@@ -11,6 +12,8 @@
 	Code    string
 	Message string
 	Outcome Outcome
+	// RetryAfter is when the caller may come back; zero leaves it to the caller.
+	RetryAfter time.Duration
 }
 
 // Error returns the code and the message.
@@ -56,4 +59,5 @@
 	CodeOrderBusy     = "order_in_progress"
 	CodeOrderUnknown  = "order_outcome_unknown"
 	CodeTable         = "table_unavailable"
+	CodeRoute         = "route_not_found"
 )
--- /dev/null
+++ b/internal/router/follow/follow.go
@@ -0,0 +1,215 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+)
+
+const (
+	// Wait is how long one call waits for changes; it sets the rate of calls of a calm node.
+	Wait = 10 * time.Second
+	// batchPause is the pause after changes, so that a series of them costs few calls; it is a tenth of the shortest bound in which changes must take effect.
+	batchPause = 300 * time.Millisecond
+	// retryLeast and retryMost bound the pause before a failed call is repeated.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = time.Second
+)
+
+// Update is a change of the copy.
+type Update struct {
+	// Changed holds the new and the deleted records.
+	Changed []router.Record
+	// Regained is set when the store answered for the first time after a failure.
+	Regained bool
+}
+
+// Options are what a Follower is built from.
+type Options struct {
+	Source router.Source
+	Kind   router.RecordKind
+	Log    *slog.Logger
+	// Apply is called with every change, one call at a time.
+	Apply func(upd Update)
+}
+
+// Follower is a copy of one kind of record.
+type Follower struct {
+	options Options
+
+	mut     sync.Mutex
+	records map[string]router.Record
+	version int64
+	// read is set once everything has been read.
+	read bool
+	// failing is when the store stopped answering; zero while it answers.
+	failing time.Time
+}
+
+// New returns an empty Follower.
+func New(opt Options) *Follower {
+	return &Follower{options: opt, records: make(map[string]router.Record)}
+}
+
+// Run follows the store until the context ends.
+func (fol *Follower) Run(ctx context.Context) {
+	retry := retryLeast
+	for ctx.Err() == nil {
+		chs, err := fol.next(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		switch {
+		case errors.Is(err, router.ErrCompacted):
+			fol.forgetVersion()
+			continue
+		case err != nil:
+			fol.fail(err)
+			pause(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, retryMost)
+			continue
+		}
+		retry = retryLeast
+		if fol.accept(chs, true) > 0 {
+			pause(ctx, batchPause)
+		}
+	}
+}
+
+// Offer takes a peer's whole copy where it is newer than the own one.
+func (fol *Follower) Offer(chs router.Changes) {
+	fol.accept(chs, false)
+}
+
+// Version returns the store's version of the copy; zero means that nothing was read yet.
+func (fol *Follower) Version() int64 {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	return fol.version
+}
+
+// Failing returns how long the store has not answered; zero means that it answers.
+func (fol *Follower) Failing() time.Duration {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	if fol.failing.IsZero() {
+		return 0
+	}
+	return max(1, time.Since(fol.failing))
+}
+
+// Copy returns all records as of one version; it is empty before the first read.
+func (fol *Follower) Copy() (chs router.Changes) {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	chs = router.Changes{Version: fol.version, Whole: true}
+	for _, rec := range fol.records {
+		chs.Records = append(chs.Records, rec)
+	}
+	return chs
+}
+
+func (fol *Follower) next(ctx context.Context) (chs router.Changes, err error) {
+	fol.mut.Lock()
+	read, after, failing := fol.read, fol.version, !fol.failing.IsZero()
+	fol.mut.Unlock()
+	if !read {
+		return fol.options.Source.Read(ctx, fol.options.Kind)
+	}
+	wait := Wait
+	if failing {
+		// A short wait shows soon that the store answers again.
+		wait = retryMost
+	}
+	return fol.options.Source.Follow(ctx, fol.options.Kind, after, wait)
+}
+
+func (fol *Follower) fail(err error) {
+	fol.mut.Lock()
+	fresh := fol.failing.IsZero()
+	if fresh {
+		fol.failing = time.Now()
+	}
+	version := fol.version
+	fol.mut.Unlock()
+	if fresh {
+		fol.options.Log.Warn("store lost", "Kind", fol.options.Kind, "Version", version, "Error", err.Error())
+	}
+}
+
+func (fol *Follower) forgetVersion() {
+	fol.mut.Lock()
+	fol.read = false
+	fol.mut.Unlock()
+	fol.options.Log.Info("store history discarded", "Kind", fol.options.Kind)
+}
+
+// accept merges changes, tells them, and returns their number.
+func (fol *Follower) accept(chs router.Changes, own bool) (num int) {
+	fol.mut.Lock()
+	upd := Update{Changed: fol.merge(chs)}
+	if own {
+		upd.Regained = !fol.failing.IsZero()
+		fol.failing = time.Time{}
+	}
+	if own || chs.Whole {
+		fol.version = max(fol.version, chs.Version)
+		fol.read = true
+	}
+	version := fol.version
+	if len(upd.Changed) > 0 || upd.Regained {
+		// Told under the lock, so that changes are applied in order.
+		fol.options.Apply(upd)
+	}
+	fol.mut.Unlock()
+	if upd.Regained {
+		fol.options.Log.Info("store regained", "Kind", fol.options.Kind, "Version", version)
+	}
+	return len(upd.Changed)
+}
+
+// merge applies changes that are newer than the copy and returns them.
+func (fol *Follower) merge(chs router.Changes) (changed []router.Record) {
+	if chs.Whole && chs.Version < fol.version {
+		return nil
+	}
+	seen := make(map[string]bool, len(chs.Records))
+	for _, rec := range chs.Records {
+		seen[rec.Key] = true
+		old, fnd := fol.records[rec.Key]
+		if rec.Version <= old.Version || rec.Deleted && !fnd {
+			continue
+		}
+		if rec.Deleted {
+			delete(fol.records, rec.Key)
+		} else {
+			fol.records[rec.Key] = rec
+		}
+		changed = append(changed, rec)
+	}
+	if !chs.Whole {
+		return changed
+	}
+	for key := range fol.records {
+		if !seen[key] {
+			delete(fol.records, key)
+			changed = append(changed, router.Record{Key: key, Version: chs.Version, Deleted: true})
+		}
+	}
+	return changed
+}
+
+func pause(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/router/runner/runner.go
+++ b/internal/router/runner/runner.go
@@ -43,8 +43,8 @@
 func New(opt Options) *Runner {
 	run := &Runner{
 		options:  opt,
-		retries:  budget.NewBook(),
-		hedges:   budget.NewBook(),
+		retries:  budget.NewBook(budget.Reserve),
+		hedges:   budget.NewBook(budget.Reserve),
 		attempts: make(map[*attempt]struct{}),
 	}
 	run.stop = opt.Timers.Every(watchPeriod, run.watch)
--- /dev/null
+++ b/internal/router/send/send.go
@@ -0,0 +1,373 @@
+package send
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/link"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
+)
+
+const (
+	// connectTries is the number of upstreams that one call may fail to connect to.
+	connectTries = 4
+	// onceIdle is how long a connection may have been idle to be used for a call that may run once; a reset on an old one leaves its outcome unknown.
+	onceIdle = 2 * time.Second
+	// anyIdle puts no bound on how long a connection may have been idle, beyond the upstream's own.
+	anyIdle = time.Hour
+	// comeBack is the Retry-After of a refusal that says nothing better.
+	comeBack = 300 * time.Millisecond
+)
+
+// Job is a call with everything that was decided about it before it is sent.
+type Job struct {
+	Call      *router.Call
+	Route     *router.Route
+	Service   string
+	Workspace string
+	Tier      int
+}
+
+// Report tells how a job ended.
+type Report struct {
+	Outcome router.Outcome
+	// Status is what the caller was told; zero when the caller left first.
+	Status   int
+	Upstream string
+	// Sends is the number of times that the call was sent.
+	Sends int
+	// First is the time from arrival to the first event or the whole answer; zero when there was none.
+	First time.Duration
+	// Events is the number of events relayed.
+	Events int
+	// Reason tells why the call was not answered by an upstream.
+	Reason string
+}
+
+// Options are what a Sender is built from.
+type Options struct {
+	Timers  router.Timers
+	Dialect router.Dialect
+	Roster  *roster.Roster
+	Board   *place.Board
+	Links   *link.Book
+	Budget  *budget.Book
+	Log     *slog.Logger
+	// RetryShare is the number of repeated sendings allowed per call, from 0 to 1.
+	RetryShare float64
+}
+
+// Sender carries calls to upstreams.
+type Sender struct {
+	options Options
+}
+
+// New returns a Sender.
+func New(opt Options) *Sender {
+	return &Sender{options: opt}
+}
+
+// Serve carries a job to an upstream and writes the answer; it panics with http.ErrAbortHandler to break off an answer that has begun.
+func (snd *Sender) Serve(ctx context.Context, job Job, wri http.ResponseWriter) (rep Report) {
+	snd.options.Budget.Of(job.Service).Earn(snd.options.RetryShare)
+	cou := &course{sender: snd, job: job, writer: wri, tried: make(map[string]bool)}
+	ctx, cancel := context.WithDeadline(ctx, cou.deadline())
+	defer cancel()
+	return cou.run(ctx)
+}
+
+// state is how one sending ended.
+type state int
+
+const (
+	// notSent means that no byte reached an upstream.
+	notSent state = iota
+	// rejected means that the upstream states that it did not execute the call.
+	rejected
+	// unknown means that the upstream may have executed the call and its answer is not usable.
+	unknown
+	// answered means that the caller has the upstream's answer.
+	answered
+	// broken means that an answer whose beginning the caller has broke off.
+	broken
+)
+
+// course is one job under way.
+type course struct {
+	sender *Sender
+	job    Job
+	writer http.ResponseWriter
+
+	// tried holds the incarnations that are not chosen again.
+	tried map[string]bool
+	// sends counts sendings that may have reached an upstream; missed counts failures to connect.
+	sends, missed int
+	// mayHaveRun is set once a sending ended in any state but notSent and rejected.
+	mayHaveRun bool
+	upstream   string
+	reason     string
+	begun      bool
+	first      time.Duration
+	events     int
+	lastEvent  string
+	status     int
+}
+
+func (cou *course) deadline() time.Time {
+	cal, rou := cou.job.Call, cou.job.Route
+	end := cal.Deadline
+	if rou.Timeout > 0 {
+		if lim := cal.Arrived.Add(rou.Timeout); end.IsZero() || lim.Before(end) {
+			end = lim
+		}
+	}
+	if end.IsZero() {
+		end = cal.Arrived.Add(unboundedTimeout)
+	}
+	return end
+}
+
+// unboundedTimeout limits calls for which neither the caller nor the route names a limit.
+const unboundedTimeout = 5 * time.Minute
+
+func (cou *course) run(ctx context.Context) Report {
+	for {
+		sta := cou.attempt(ctx)
+		switch {
+		case sta == answered:
+			return cou.report(router.Ran)
+		case ctx.Err() != nil:
+			return cou.expire(ctx)
+		case !cou.again(sta):
+			return cou.fail(sta)
+		}
+	}
+}
+
+// again reports whether the call may be sent once more.
+func (cou *course) again(sta state) bool {
+	rou := cou.job.Route
+	switch sta {
+	case notSent:
+		return cou.reason != reasonNone && cou.missed < connectTries
+	case rejected:
+		return cou.sends < rou.Attempts && cou.spend()
+	case unknown:
+		return cou.sends < rou.Attempts && rou.Repeat != router.Once && cou.spend()
+	case broken:
+		return cou.sends < rou.Attempts && rou.Repeat == router.Resumed && cou.lastEvent != "" && cou.spend()
+	default:
+		return false
+	}
+}
+
+func (cou *course) spend() bool {
+	if cou.sender.options.Budget.Of(cou.job.Service).Spend() {
+		return true
+	}
+	cou.reason += "; retry budget spent"
+	return false
+}
+
+// reasonNone is the reason when no upstream is left to try.
+const reasonNone = "no upstream"
+
+// attempt sends the call once.
+func (cou *course) attempt(ctx context.Context) (sta state) {
+	opt := cou.sender.options
+	ins, tic, ok := opt.Board.Choose(cou.want(), opt.Roster.Takers(cou.job.Service), func(ins router.Instance) bool {
+		return cou.tried[place.Key(ins)]
+	})
+	if !ok {
+		cou.reason = reasonNone
+		return notSent
+	}
+	res := place.Left
+	defer func() { tic.Done(res) }()
+	con, err := cou.connect(ctx, ins)
+	if err != nil {
+		cou.missed++
+		cou.tried[place.Key(ins)] = true
+		cou.note("connect failed", ins, err)
+		if ctx.Err() == nil {
+			res = place.Unreachable
+		}
+		return notSent
+	}
+	cou.upstream = ins.ID
+	if cou.sends > 0 || cou.missed > 0 {
+		opt.Log.Info("sent again", "Request", cou.job.Call.ID, "Upstream", ins.ID, "Send", cou.sends+1, "After", cou.reason)
+	}
+	cou.sends++
+	sta, res = cou.exchange(ctx, ins, con, tic)
+	if sta != answered {
+		cou.tried[place.Key(ins)] = true
+	}
+	if sta != answered && sta != rejected {
+		cou.mayHaveRun = true
+	}
+	return sta
+}
+
+func (cou *course) want() place.Want {
+	cal := cou.job.Call
+	return place.Want{
+		Service: cou.job.Service,
+		Chain:   place.Shared(cal.Prompt),
+		Prompt:  cal.PromptTokens,
+		Output:  cal.OutputTokens,
+		Tier:    cou.job.Tier,
+		Target:  cou.job.Route.Target,
+	}
+}
+
+func (cou *course) connect(ctx context.Context, ins router.Instance) (con *link.Conn, err error) {
+	idle := anyIdle
+	if cou.job.Route.Repeat == router.Once {
+		idle = onceIdle
+	}
+	return cou.sender.options.Links.Pool(place.Key(ins), ins.Address).Get(ctx, idle)
+}
+
+// exchange sends the call on a connection and relays the answer.
+func (cou *course) exchange(ctx context.Context, ins router.Instance, con *link.Conn, tic *place.Ticket) (sta state, res place.Result) {
+	opt, cal := cou.sender.options, cou.job.Call
+	hdr := opt.Dialect.Encode(cal, router.Attempt{
+		Instance:  ins,
+		Workspace: cou.job.Workspace,
+		Tier:      cou.job.Tier,
+		Left:      max(time.Millisecond, cou.deadline().Sub(opt.Timers.Now())),
+		After:     cou.lastEvent,
+	})
+	rsp, err := con.Send(ctx, link.Request{Method: cal.Method, Host: cal.Host, Target: cal.Target, Header: hdr, Body: cal.Body})
+	if err != nil {
+		con.Close()
+		return cou.lost(ctx, "no answer", ins, err)
+	}
+	ver := opt.Dialect.Judge(cal, rsp)
+	switch {
+	case ver.Foreign:
+		con.Close()
+		return cou.lost(ctx, "answer to another request", ins, errors.Errorf("status %d", rsp.StatusCode))
+	case ver.NotRun:
+		cou.discard(con, rsp)
+		cou.note("rejected", ins, errors.Errorf("status %d", rsp.StatusCode))
+		return rejected, place.Full
+	case !ver.Genuine || promises(rsp.StatusCode):
+		con.Close()
+		return cou.lost(ctx, "answer not the upstream's", ins, errors.Errorf("status %d", rsp.StatusCode))
+	case cou.job.Route.Stream && rsp.StatusCode == http.StatusOK:
+		return cou.stream(ctx, ins, con, rsp, tic)
+	case cou.begun:
+		con.Close()
+		return cou.lost(ctx, "stream not continued", ins, errors.Errorf("status %d", rsp.StatusCode))
+	default:
+		return cou.plain(ctx, ins, con, rsp)
+	}
+}
+
+// promises reports whether a status tells the caller that its request was not run, which only the upstream's own statement allows.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// lost records a sending whose outcome is unknown.
+func (cou *course) lost(ctx context.Context, what string, ins router.Instance, err error) (state, place.Result) {
+	cou.note(what, ins, err)
+	sta := unknown
+	if cou.begun {
+		sta = broken
+	}
+	if ctx.Err() != nil {
+		return sta, place.Left
+	}
+	return sta, place.Failed
+}
+
+// note logs what went wrong with an upstream.
+func (cou *course) note(what string, ins router.Instance, err error) {
+	cou.reason = what
+	cou.sender.options.Log.Info("send failed", "Request", cou.job.Call.ID, "Upstream", ins.ID, "Service", ins.Service,
+		"What", what, "Error", err.Error(), "Sends", cou.sends, "Begun", cou.begun)
+}
+
+// expire ends a call whose caller left or whose time is over.
+func (cou *course) expire(ctx context.Context) Report {
+	if cou.reason == "" {
+		cou.reason = "deadline"
+	}
+	out := cou.outcome()
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		cou.reason = "caller left"
+		return cou.report(out)
+	}
+	cou.reason = "time over: " + cou.reason
+	if cou.begun {
+		cou.abort()
+	}
+	ref := router.Refuse(http.StatusServiceUnavailable, router.CodeDeadline, "the time for the request is over")
+	ref.RetryAfter = comeBack
+	if out == router.Unknown {
+		ref = router.RefuseUnknown(router.CodeDeadline, "the upstream did not answer in time")
+		ref.Status = http.StatusGatewayTimeout
+	}
+	return cou.refuse(ref)
+}
+
+// fail ends a call that is not sent again.
+func (cou *course) fail(sta state) Report {
+	if sta == broken {
+		cou.abort()
+	}
+	if cou.outcome() == router.Unknown {
+		return cou.refuse(router.RefuseUnknown(router.CodeUpstream, "the upstream failed: %s", cou.reason))
+	}
+	ref := router.Refuse(http.StatusServiceUnavailable, router.CodeNoUpstream, "not run: %s", cou.reason)
+	ref.RetryAfter = comeBack
+	return cou.refuse(ref)
+}
+
+func (cou *course) outcome() router.Outcome {
+	if cou.mayHaveRun {
+		return router.Unknown
+	}
+	return router.NotRun
+}
+
+func (cou *course) refuse(ref *router.Refusal) Report {
+	WriteRefusal(cou.writer, ref)
+	cou.status = ref.Status
+	return cou.report(ref.Outcome)
+}
+
+// abort breaks off an answer that the caller has in part.
+func (cou *course) abort() {
+	rep := cou.report(router.Unknown)
+	cou.sender.options.Log.Warn("answer broken off", "Request", cou.job.Call.ID, "Route", cou.job.Route.Name,
+		"Upstream", rep.Upstream, "Sends", rep.Sends, "Events", rep.Events, "Reason", rep.Reason)
+	panic(http.ErrAbortHandler)
+}
+
+func (cou *course) report(out router.Outcome) Report {
+	return Report{
+		Outcome:  out,
+		Status:   cou.status,
+		Upstream: cou.upstream,
+		Sends:    cou.sends,
+		First:    cou.first,
+		Events:   cou.events,
+		Reason:   cou.reason,
+	}
+}
