Let nodes tell each other their load, placements and copies

Change: router/mesh sends digests by datagrams and serves copies of records; place estimates the time to the first event from all unread prompts before the call, and weighs it against reading shared parts again.

--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -53,6 +53,7 @@
 			Source:   plat.NewStore(set.Platform.Store),
 			Codec:    plat.Codec{},
 			Dialect:  plat.Dialect{},
+			Reload:   func() (conf.Node, error) { return conf.LoadNode(cmd.Node) },
 		}).Run()
 	}
 	nod, err := node.New(node.Options{
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -130,6 +130,8 @@
 type Platform struct {
 	// Store is the address of the metadata store; empty means that there is no platform.
 	Store string
+	// Mesh is the address at which other nodes reach this one, for datagrams and for HTTP.
+	Mesh string
 	// FailureDomains are all failure domains with their regions.
 	FailureDomains []router.FailureDomain
 	// Grace is the time from SIGTERM to SIGKILL.
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/link"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/mesh"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
@@ -35,9 +36,13 @@
 	// acceptAfterStop is how long a stopping node still serves, so that the balancer takes it out first: two probes a second apart, and some slack.
 	acceptAfterStop = 2500 * time.Millisecond
 	// stopMargin is how much of the grace period is kept for the end of the process.
-	stopMargin = 300 * time.Millisecond
+	stopMargin = time.Second
 	// budgetSafety is the part of the common retry allowance that nodes use; their counts of each other lag.
 	budgetSafety = 0.7
+	// lonelyShare divides the common retry allowance while a node does not know how many others there are.
+	lonelyShare = 8
+	// budgetPeriod is how often the share of the retry allowance is computed again.
+	budgetPeriod = time.Second
 )
 
 // Options are what a Node is built from.
@@ -48,6 +53,8 @@
 	Source   router.Source
 	Codec    router.Codec
 	Dialect  router.Dialect
+	// Reload reads the settings again.
+	Reload func() (set conf.Node, err error)
 }
 
 // Node is one process before the upstreams of a platform.
@@ -57,12 +64,17 @@
 	roster    *roster.Roster
 	manifests *follow.Follower
 	instances *follow.Follower
+	mesh      *mesh.Mesh
+	budget    *budget.Book
 	stopping  atomic.Bool
+	// settings are those that were read last; addresses and names count from the start only.
+	settings atomic.Pointer[conf.Node]
 }
 
 // New builds a node.
 func New(opt Options) *Node {
 	nod := &Node{options: opt}
+	nod.settings.Store(&opt.Settings)
 	set := opt.Settings
 	regions := make(map[string]string, len(set.Platform.FailureDomains))
 	for _, dom := range set.Platform.FailureDomains {
@@ -81,6 +93,16 @@
 	})
 	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest})
 	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply})
+	nod.mesh = mesh.New(mesh.Options{
+		Self:   router.Member{Name: set.Name, Address: set.Platform.Mesh, FailureDomain: set.FailureDomain},
+		Timers: opt.Timers,
+		Log:    opt.Log,
+		Source: opt.Source,
+		Codec:  opt.Codec,
+		Load:   loadView{board: board},
+		Copies: map[router.RecordKind]*follow.Follower{router.Manifests: nod.manifests, router.Instances: nod.instances},
+	})
+	nod.budget = budget.NewBook(budgetSafety * set.Platform.RetryReserve / lonelyShare)
 	nod.front = &Front{
 		timers:  opt.Timers,
 		dialect: opt.Dialect,
@@ -92,7 +114,7 @@
 			Roster:     nod.roster,
 			Board:      board,
 			Links:      links,
-			Budget:     budget.NewBook(budgetSafety * set.Platform.RetryReserve),
+			Budget:     nod.budget,
 			Log:        opt.Log,
 			RetryShare: budgetSafety * set.Platform.RetryShare,
 		}),
@@ -130,7 +152,7 @@
 func (nod *Node) Run() (err error) {
 	defer fault.Annotate(&err, "run node")
 	var grp run.Group
-	set := nod.options.Settings
+	set := nod.settings.Load()
 	srv, err := nod.listen(&grp, set.Listen, nod.front)
 	if err != nil {
 		return err
@@ -146,6 +168,13 @@
 			return nil
 		}, func(error) { cancel() })
 	}
+	if _, err := nod.listen(&grp, set.Platform.Mesh, nod.mesh.Handler()); err != nil {
+		return err
+	}
+	grp.Add(func() error { return nod.mesh.Run(ctx) }, func(error) { cancel() })
+	defer nod.options.Timers.Every(budgetPeriod, func(time.Time) {
+		nod.budget.Resize(budgetSafety * nod.settings.Load().Platform.RetryReserve / float64(max(nod.mesh.Live(), 2)))
+	})()
 	nod.addStop(&grp, srv)
 	nod.options.Log.Info("node started", "Listen", set.Listen, "FailureDomain", set.FailureDomain, "Region", set.Region)
 	err = grp.Run()
@@ -197,18 +226,24 @@
 	return srv, nil
 }
 
-// addStop turns SIGTERM and SIGINT into a planned stop.
+// addStop turns SIGTERM and SIGINT into a planned stop, and SIGHUP into a reading of the settings.
 func (nod *Node) addStop(grp *run.Group, srv *http.Server) {
 	sgs := make(chan os.Signal, 2)
-	signal.Notify(sgs, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(sgs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	end := make(chan struct{})
 	grp.Add(func() error {
-		select {
-		case <-sgs:
-			nod.stop(srv)
-			return errStopped
-		case <-end:
-			return nil
+		for {
+			select {
+			case sig := <-sgs:
+				if sig == syscall.SIGHUP {
+					nod.reload()
+					continue
+				}
+				nod.stop(srv)
+				return errStopped
+			case <-end:
+				return nil
+			}
 		}
 	}, func(error) {
 		signal.Stop(sgs)
@@ -216,12 +251,24 @@
 	})
 }
 
+// reload reads the settings again; ones that cannot be read change nothing.
+func (nod *Node) reload() {
+	set, err := nod.options.Reload()
+	if err != nil {
+		nod.options.Log.Error("settings not reloaded", "Error", err.Error())
+		return
+	}
+	nod.settings.Store(&set)
+	nod.options.Log.Info("settings reloaded")
+}
+
 // stop ends the node: unready at once, serving while the balancer takes it out, then no new requests, and an end when nothing is under way.
 func (nod *Node) stop(srv *http.Server) {
 	nod.stopping.Store(true)
+	nod.mesh.Stop()
 	nod.front.closing.Store(true)
 	nod.options.Log.Info("node stopping", "Active", nod.front.active.Load())
-	grace := nod.options.Settings.Platform.Grace
+	grace := nod.settings.Load().Platform.Grace
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
 	pause := min(acceptAfterStop, grace/3)
--- /dev/null
+++ b/internal/router/mesh/copy.go
@@ -0,0 +1,146 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+const (
+	// copyPath is where a node serves its copies to peers.
+	copyPath = "/v1/copies/"
+	// copyTimeout limits fetching a peer's copy.
+	copyTimeout = time.Second
+	// copyBytes bounds a peer's copy.
+	copyBytes = 16 << 20
+	// copyPause is the least time between two fetches of one kind.
+	copyPause = 300 * time.Millisecond
+	// lagAllowed is how long a peer's copy may be newer before the own feed counts as silent; feeds batch changes for less.
+	lagAllowed = 800 * time.Millisecond
+)
+
+// copier fetches peers' copies of one kind of record.
+type copier struct {
+	kind     router.RecordKind
+	follower *follow.Follower
+
+	mut sync.Mutex
+	// behind is since when a peer has a newer version than the own one.
+	behind time.Time
+	busy   bool
+	last   time.Time
+}
+
+var client = &http.Client{Transport: &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: copyTimeout}).DialContext,
+	MaxIdleConnsPerHost: 1,
+	IdleConnTimeout:     5 * time.Second,
+}}
+
+// catchUp fetches a peer's copies that are newer, where the own feed does not bring them.
+func (msh *Mesh) catchUp(ctx context.Context, dig *wire.Digest) {
+	for _, cop := range msh.copiers {
+		newer := dig.GetVersions()[string(cop.kind)]
+		if !cop.wants(newer, msh.options.Timers.Now()) {
+			continue
+		}
+		go func() {
+			defer cop.done(msh.options.Timers.Now())
+			num, err := cop.fetch(ctx, dig.GetAddress())
+			if err != nil {
+				msh.options.Log.Info("copy not fetched", "Kind", cop.kind, "Peer", dig.GetNode(), "Error", err.Error())
+				return
+			}
+			msh.options.Log.Info("copy fetched from peer", "Kind", cop.kind, "Peer", dig.GetNode(), "Version", newer, "Records", num)
+		}()
+	}
+}
+
+// wants reports whether a peer's version should be fetched now.
+func (cop *copier) wants(newer int64, now time.Time) bool {
+	cop.mut.Lock()
+	defer cop.mut.Unlock()
+	if newer <= cop.follower.Version() {
+		cop.behind = time.Time{}
+		return false
+	}
+	if cop.behind.IsZero() {
+		cop.behind = now
+	}
+	silent := cop.follower.Failing() > 0 || now.Sub(cop.behind) > lagAllowed
+	if !silent || cop.busy || now.Sub(cop.last) < copyPause {
+		return false
+	}
+	cop.busy = true
+	return true
+}
+
+func (cop *copier) done(now time.Time) {
+	cop.mut.Lock()
+	defer cop.mut.Unlock()
+	cop.busy, cop.last, cop.behind = false, now, time.Time{}
+}
+
+func (cop *copier) fetch(ctx context.Context, address string) (num int, err error) {
+	defer fault.Annotate(&err, "fetch copy")
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+copyPath+string(cop.kind), nil)
+	if err != nil {
+		return 0, err
+	}
+	rsp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer rsp.Body.Close()
+	txt, err := io.ReadAll(io.LimitReader(rsp.Body, copyBytes))
+	if err != nil {
+		return 0, err
+	}
+	var msg wire.Copy
+	if err := proto.Unmarshal(txt, &msg); err != nil {
+		return 0, err
+	}
+	if rsp.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("status %d", rsp.StatusCode)
+	}
+	chs := router.Changes{Version: msg.GetVersion(), Whole: true}
+	for _, rec := range msg.GetRecords() {
+		chs.Records = append(chs.Records, router.Record{Key: rec.GetKey(), Value: rec.GetValue(), Version: rec.GetVersion()})
+	}
+	cop.follower.Offer(chs)
+	return len(chs.Records), nil
+}
+
+// Handler serves this node's copies to peers.
+func (msh *Mesh) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, cop := range msh.copiers {
+		mux.HandleFunc("GET "+copyPath+string(cop.kind), func(wri http.ResponseWriter, _ *http.Request) {
+			chs := cop.follower.Copy()
+			msg := &wire.Copy{Version: chs.Version}
+			for _, rec := range chs.Records {
+				msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version})
+			}
+			txt, err := proto.Marshal(msg)
+			if err != nil {
+				http.Error(wri, err.Error(), http.StatusInternalServerError)
+				return
+			}
+			_, _ = wri.Write(txt)
+		})
+	}
+	return mux
+}
--- /dev/null
+++ b/internal/router/mesh/mesh.go
@@ -0,0 +1,316 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+const (
+	// digestLeast is the pause between digests with few peers; placement decides on views of about this age.
+	digestLeast = 100 * time.Millisecond
+	// digestPerPeer bounds a node's digests to 200 a second however many peers it has.
+	digestPerPeer = 5 * time.Millisecond
+	// heardWithin is how long after its last digest a peer counts as live.
+	heardWithin = 2 * time.Second
+	// silentEvery is how often a peer that is not heard is tried, in digests.
+	silentEvery = 10
+	// datagramBytes bounds a digest.
+	datagramBytes = 60 << 10
+	// membersEvery is how often the list of nodes is read again, with as much jitter; newcomers announce themselves.
+	membersEvery = time.Minute
+	// joinRetry is the pause after a failure to write or read the list of nodes.
+	joinRetry = time.Second
+)
+
+// Load is what a Mesh tells and learns of placement.
+type Load interface {
+	// Describe adds this node's load to a digest.
+	Describe(dig *wire.Digest)
+	// Learn takes a peer's load.
+	Learn(dig *wire.Digest)
+	// Lose forgets the load of a peer that is not heard any more.
+	Lose(name string)
+}
+
+// Options are what a Mesh is built from.
+type Options struct {
+	Self   router.Member
+	Timers router.Timers
+	Log    *slog.Logger
+	Source router.Source
+	Codec  router.Codec
+	Load   Load
+	// Copies are the copies of the platform's records that peers may have newer.
+	Copies map[router.RecordKind]*follow.Follower
+}
+
+// Mesh is this node's view of its peers.
+type Mesh struct {
+	options     Options
+	incarnation int64
+	copiers     []*copier
+
+	mut      sync.Mutex
+	peers    map[string]*peer
+	sequence uint64
+	stopping bool
+}
+
+// peer is another node.
+type peer struct {
+	member      router.Member
+	address     *net.UDPAddr
+	incarnation int64
+	sequence    uint64
+	heard       time.Time
+	live        bool
+	versions    map[string]int64
+}
+
+// New returns a Mesh that knows no peers.
+func New(opt Options) *Mesh {
+	msh := &Mesh{options: opt, incarnation: opt.Timers.Now().UnixNano(), peers: make(map[string]*peer)}
+	for knd, fol := range opt.Copies {
+		msh.copiers = append(msh.copiers, &copier{kind: knd, follower: fol})
+	}
+	return msh
+}
+
+// Live returns the number of live nodes, this one included.
+func (msh *Mesh) Live() (num int) {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	num = 1
+	for _, per := range msh.peers {
+		if per.live {
+			num++
+		}
+	}
+	return num
+}
+
+// Stop tells peers from now on that this node is stopping.
+func (msh *Mesh) Stop() {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	msh.stopping = true
+}
+
+// Run exchanges digests until the context ends.
+func (msh *Mesh) Run(ctx context.Context) (err error) {
+	defer fault.Annotate(&err, "run mesh")
+	adr, err := net.ResolveUDPAddr("udp4", msh.options.Self.Address)
+	if err != nil {
+		return err
+	}
+	soc, err := net.ListenUDP("udp4", adr)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = soc.Close() })
+	defer stop()
+	go msh.listMembers(ctx)
+	go msh.receive(ctx, soc)
+	for ctx.Err() == nil {
+		msh.send(soc)
+		sleep(ctx, msh.pause())
+	}
+	return nil
+}
+
+// pause returns the time to the next digest, which grows with the number of peers.
+func (msh *Mesh) pause() time.Duration {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	return max(digestLeast, time.Duration(len(msh.peers))*digestPerPeer)
+}
+
+// send tells all peers what this node does.
+func (msh *Mesh) send(soc *net.UDPConn) {
+	self := msh.options.Self
+	dig := &wire.Digest{
+		Node:          self.Name,
+		FailureDomain: self.FailureDomain,
+		Incarnation:   msh.incarnation,
+		Address:       self.Address,
+		Versions:      make(map[string]int64, len(msh.options.Copies)),
+	}
+	for knd, fol := range msh.options.Copies {
+		dig.Versions[string(knd)] = fol.Version()
+	}
+	msh.options.Load.Describe(dig)
+	adrs := msh.targets(dig)
+	txt, err := proto.Marshal(dig)
+	if err != nil || len(txt) > datagramBytes {
+		msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
+		return
+	}
+	for _, adr := range adrs {
+		// A lost datagram is replaced by the next one.
+		_, _ = soc.WriteToUDP(txt, adr)
+	}
+}
+
+// targets numbers a digest and returns whom to send it to; peers that went silent are told.
+func (msh *Mesh) targets(dig *wire.Digest) (adrs []*net.UDPAddr) {
+	now := msh.options.Timers.Now()
+	var lost []string
+	msh.mut.Lock()
+	msh.sequence++
+	dig.Sequence = msh.sequence
+	dig.Stopping = msh.stopping
+	for nam, per := range msh.peers {
+		if per.live && now.Sub(per.heard) > heardWithin {
+			per.live = false
+			lost = append(lost, nam)
+		}
+		if per.live || msh.sequence%silentEvery == 0 {
+			adrs = append(adrs, per.address)
+		}
+	}
+	msh.mut.Unlock()
+	for _, nam := range lost {
+		msh.options.Load.Lose(nam)
+		msh.options.Log.Info("node lost", "Peer", nam, "Silence", heardWithin.String())
+	}
+	return adrs
+}
+
+func (msh *Mesh) receive(ctx context.Context, soc *net.UDPConn) {
+	buf := make([]byte, datagramBytes)
+	for ctx.Err() == nil {
+		num, _, err := soc.ReadFromUDP(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				msh.options.Log.Warn("datagram not received", "Error", err.Error())
+				sleep(ctx, digestLeast)
+			}
+			continue
+		}
+		var dig wire.Digest
+		if err := proto.Unmarshal(buf[:num], &dig); err != nil || dig.GetNode() == "" {
+			msh.options.Log.Info("datagram ignored", "Bytes", num)
+			continue
+		}
+		if msh.accept(&dig) {
+			msh.options.Load.Learn(&dig)
+			msh.catchUp(ctx, &dig)
+		}
+	}
+}
+
+// accept notes that a peer was heard, and reports whether its digest is newer than the one before.
+func (msh *Mesh) accept(dig *wire.Digest) bool {
+	if dig.GetNode() == msh.options.Self.Name {
+		return false
+	}
+	adr, err := net.ResolveUDPAddr("udp4", dig.GetAddress())
+	if err != nil {
+		return false
+	}
+	msh.mut.Lock()
+	per := msh.peers[dig.GetNode()]
+	if per == nil {
+		per = &peer{}
+		msh.peers[dig.GetNode()] = per
+	}
+	if dig.GetIncarnation() < per.incarnation || dig.GetIncarnation() == per.incarnation && dig.GetSequence() <= per.sequence {
+		msh.mut.Unlock()
+		return false
+	}
+	fresh := !per.live || per.incarnation != dig.GetIncarnation()
+	per.member = router.Member{Name: dig.GetNode(), Address: dig.GetAddress(), FailureDomain: dig.GetFailureDomain()}
+	per.address, per.incarnation, per.sequence = adr, dig.GetIncarnation(), dig.GetSequence()
+	per.heard, per.live, per.versions = msh.options.Timers.Now(), true, dig.GetVersions()
+	msh.mut.Unlock()
+	if fresh {
+		msh.options.Log.Info("node heard", "Peer", dig.GetNode(), "Address", dig.GetAddress(), "Incarnation", dig.GetIncarnation())
+	}
+	return true
+}
+
+// listMembers writes this node into the list of nodes and reads who else is there.
+func (msh *Mesh) listMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := msh.options.Source.Join(ctx, msh.options.Self)
+		if err == nil {
+			break
+		}
+		msh.options.Log.Info("node not listed", "Error", err.Error())
+		sleep(ctx, joinRetry+rand.N(joinRetry))
+	}
+	for ctx.Err() == nil {
+		chs, err := msh.options.Source.Read(ctx, router.Members)
+		if err != nil {
+			msh.options.Log.Info("list of nodes not read", "Error", err.Error())
+			sleep(ctx, joinRetry+rand.N(joinRetry))
+			continue
+		}
+		msh.merge(chs)
+		sleep(ctx, membersEvery+rand.N(membersEvery))
+	}
+}
+
+func (msh *Mesh) merge(chs router.Changes) {
+	listed := make(map[string]bool)
+	for _, rec := range chs.Records {
+		mem, err := msh.options.Codec.Member(rec)
+		if err == nil {
+			err = msh.add(mem)
+		}
+		if err != nil {
+			msh.options.Log.Warn("node record ignored", "Record", rec.Key, "Error", err.Error())
+			continue
+		}
+		listed[mem.Name] = true
+	}
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	for nam, per := range msh.peers {
+		if !listed[nam] && !per.live {
+			delete(msh.peers, nam)
+		}
+	}
+}
+
+// add notes a listed node; one that was heard says itself where it is.
+func (msh *Mesh) add(mem router.Member) (err error) {
+	if mem.Name == "" {
+		return errors.New("no name")
+	}
+	adr, err := net.ResolveUDPAddr("udp4", mem.Address)
+	if err != nil || mem.Name == msh.options.Self.Name {
+		return err
+	}
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	per := msh.peers[mem.Name]
+	switch {
+	case per == nil:
+		msh.peers[mem.Name] = &peer{member: mem, address: adr}
+	case !per.live:
+		per.member, per.address = mem, adr
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/router/place/board.go
+++ b/internal/router/place/board.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
 
@@ -22,23 +24,36 @@
 	Regions map[string]string
 }
 
-// Board knows the load of the upstreams, as far as this node can see it.
+// Board knows the load of the upstreams, as far as this node and its peers can see it.
 type Board struct {
 	options Options
-	mut     sync.Mutex
-	loads   map[string]*load
+	caches  *caches
+
+	mut   sync.Mutex
+	loads map[string]*load
+	byID  map[uint64]*load
+	// peers holds what each peer last said, so that it can be replaced.
+	peers map[string]map[uint64]InFlight
 }
 
 // New returns a Board that knows of no load.
 func New(opt Options) *Board {
-	return &Board{options: opt, loads: make(map[string]*load)}
+	return &Board{
+		options: opt,
+		caches:  newCaches(),
+		loads:   make(map[string]*load),
+		byID:    make(map[uint64]*load),
+		peers:   make(map[string]map[uint64]InFlight),
+	}
 }
 
 // Forget drops what is known of an incarnation that ended.
 func (brd *Board) Forget(ins router.Instance) {
 	brd.mut.Lock()
 	defer brd.mut.Unlock()
-	delete(brd.loads, Key(ins))
+	key := Key(ins)
+	delete(brd.loads, key)
+	delete(brd.byID, xxhash.Sum64String(key))
 }
 
 // load returns the load of an incarnation.
@@ -48,12 +63,71 @@
 	defer brd.mut.Unlock()
 	lod := brd.loads[key]
 	if lod == nil {
-		lod = &load{}
+		lod = &load{id: xxhash.Sum64String(key)}
 		brd.loads[key] = lod
+		brd.byID[lod.id] = lod
 	}
 	return lod
 }
 
+// Own returns what this node has in flight, by the hash of the incarnation's key.
+func (brd *Board) Own() (infs map[uint64]InFlight) {
+	brd.mut.Lock()
+	defer brd.mut.Unlock()
+	infs = make(map[uint64]InFlight)
+	for id, lod := range brd.byID {
+		lod.mut.Lock()
+		if lod.own != (InFlight{}) {
+			infs[id] = lod.own
+		}
+		lod.mut.Unlock()
+	}
+	return infs
+}
+
+// Peer replaces what a peer has in flight; an empty map forgets the peer.
+func (brd *Board) Peer(name string, infs map[uint64]InFlight) {
+	brd.mut.Lock()
+	defer brd.mut.Unlock()
+	brd.addPeer(brd.peers[name], -1)
+	kept := make(map[uint64]InFlight, len(infs))
+	for id, inf := range infs {
+		if brd.byID[id] != nil {
+			kept[id] = inf
+		}
+	}
+	brd.addPeer(kept, 1)
+	brd.peers[name] = kept
+	if len(kept) == 0 {
+		delete(brd.peers, name)
+	}
+}
+
+func (brd *Board) addPeer(infs map[uint64]InFlight, sign int) {
+	for id, inf := range infs {
+		lod := brd.byID[id]
+		if lod == nil {
+			continue
+		}
+		lod.mut.Lock()
+		lod.peers.add(inf, sign)
+		lod.mut.Unlock()
+	}
+}
+
+// Placed returns the prefixes that this node placed since the last call.
+func (brd *Board) Placed() []Placement {
+	return brd.caches.drain()
+}
+
+// PeerPlaced notes prefixes that a peer placed.
+func (brd *Board) PeerPlaced(pls []Placement) {
+	now := brd.options.Timers.Now()
+	for _, plc := range pls {
+		brd.caches.note(plc, now)
+	}
+}
+
 // Want is what placement needs to know of a call.
 type Want struct {
 	Service string
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,13 +16,26 @@
 	shortPrompt = 4000
 	// shortShare is the share of the engines that short prompts keep to themselves.
 	shortShare = 0.25
-	// runningTokens is the work that a running call stands for, in prompt tokens.
-	runningTokens = 100
-	// domainTokens and regionTokens are the work that distance stands for, in prompt tokens.
-	domainTokens = 150
-	regionTokens = 1000
-	// failureTokens is the work that a certain failure stands for, in prompt tokens.
-	failureTokens = 20000
+	// rereadTokens is the number of shared tokens whose reading again costs as much as a late answer.
+	rereadTokens = 20000
+	// rereadWindow is how long after its last use elsewhere reading a prefix again counts as waste.
+	rereadWindow = 10 * time.Second
+	// rankCost is what a step down a prefix's ranking of engines costs, in late answers; it lets nodes agree on where a prefix is read first.
+	rankCost = 0.04
+	// runningCost is what a call in flight costs a new one, in late answers.
+	runningCost = 0.01
+	// domainCost and regionCost are what distance costs, in late answers.
+	domainCost = 0.02
+	regionCost = 0.06
+	// failureCost is what a certain failure costs, in late answers.
+	failureCost = 3
+	// waitSlope is what a wait as long as the target costs while the answer is still in time, in late answers.
+	waitSlope = 0.4
+	// lateSteepness and lateCentre shape the chance of being late by the estimated time to the first event, relative to the target.
+	lateSteepness = 8
+	lateCentre    = 0.8
+	// defaultTarget is the target where the route has none.
+	defaultTarget = time.Second
 	// domainCalls and regionCalls are the calls in flight that distance stands for at a plain service.
 	domainCalls = 1
 	regionCalls = 8
@@ -35,12 +49,14 @@
 	if len(cans) == 0 {
 		return router.Instance{}, nil, false
 	}
-	if wnt.Prompt > 0 {
-		ins = brd.engine(wnt, cans)
-	} else {
+	if wnt.Prompt == 0 {
 		ins = brd.plain(cans)
+		return ins, brd.load(ins).enter(0, wnt.Tier, brd.options.Timers.Now), true
 	}
-	return ins, brd.load(ins).enter(wnt.Prompt, brd.options.Timers.Now), true
+	ins, read := brd.engine(wnt, cans)
+	lod := brd.load(ins)
+	brd.caches.place(wnt.Chain, lod.id, brd.options.Timers.Now())
+	return ins, lod.enter(read, wnt.Tier, brd.options.Timers.Now), true
 }
 
 // usable leaves out instances that are paused or to be avoided, unless nothing else is left.
@@ -67,7 +83,7 @@
 	least := math.Inf(1)
 	for _, can := range cans {
 		vew := brd.load(can).view(now)
-		cost := float64(vew.running) + failureCalls*vew.failures
+		cost := float64(vew.Running) + failureCalls*vew.failures
 		cost += brd.distance(can, domainCalls, regionCalls)
 		if cost < least {
 			best, least = can, cost
@@ -76,23 +92,49 @@
 	return best
 }
 
-// engine returns the instance at which the call costs the least work, in prompt tokens.
-func (brd *Board) engine(wnt Want, cans []router.Instance) (best router.Instance) {
+// engine returns the instance at which the call costs least, and how many tokens it has to read there.
+func (brd *Board) engine(wnt Want, cans []router.Instance) (best router.Instance, read int) {
 	now := brd.options.Timers.Now()
-	shared, home := 0, uint64(0)
-	if num := len(wnt.Chain); num > 0 {
-		shared, home = wnt.Chain[num-1].Tokens, wnt.Chain[num-1].Hash
+	held := brd.caches.holders(wnt.Chain, now)
+	home, warm := uint64(0), 0
+	for num, pfx := range wnt.Chain {
+		home = pfx.Hash
+		for _, use := range held[num] {
+			if now.Sub(use) < rereadWindow {
+				warm = pfx.Tokens
+			}
+		}
 	}
 	least := math.Inf(1)
 	for rank, can := range ranked(home, group(cans, wnt.Prompt < shortPrompt)) {
-		vew := brd.load(can).view(now)
-		cost := float64(vew.unread+runningTokens*vew.running) + failureTokens*vew.failures
-		cost += float64(rank*shared) + brd.distance(can, domainTokens, regionTokens)
+		lod := brd.load(can)
+		kept := 0
+		for num, pfx := range wnt.Chain {
+			if _, fnd := held[num][lod.id]; fnd {
+				kept = pfx.Tokens
+			}
+		}
+		vew := lod.view(now)
+		cost := vew.late(wnt, wnt.Prompt-kept)
+		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(rank)
+		cost += runningCost*float64(vew.Running) + failureCost*vew.failures
+		cost += brd.distance(can, domainCost, regionCost)
 		if cost < least {
-			best, least = can, cost
+			best, read, least = can, wnt.Prompt-kept, cost
 		}
 	}
-	return best
+	return best, max(0, read)
+}
+
+// late returns the cost of the estimated time to the first event, in late answers.
+func (vew view) late(wnt Want, read int) float64 {
+	target := wnt.Target
+	if target <= 0 {
+		target = defaultTarget
+	}
+	wait := float64(vew.Unread.ahead(wnt.Tier)+read) / vew.rate
+	rel := wait / float64(target.Milliseconds())
+	return waitSlope*rel + 1/(1+math.Exp(-lateSteepness*(rel-lateCentre)))
 }
 
 func (brd *Board) distance(ins router.Instance, domain, region float64) float64 {
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -11,15 +11,61 @@
 	pauseMost  = 4 * time.Second
 	// failureWeight is the weight of the newest result in an upstream's share of failures.
 	failureWeight = 0.2
+	// rateGuess is how many prompt tokens an engine reads in a millisecond, until its answers show it.
+	rateGuess = 40.0
+	// rateLeast and rateMost bound what a single observation can make of an engine's rate.
+	rateLeast = 5.0
+	rateMost  = 200.0
+	// rateWeight is the weight of the newest observation of an engine's rate.
+	rateWeight = 0.15
+	// rateTokens is the work from which an observation says something about the rate, in tokens.
+	rateTokens = 1500
 )
 
+// Tiers is the number of tiers that placement tells apart; lower ones count as the last.
+const Tiers = 4
+
+// Unread counts prompt tokens that were sent and not read yet, by tier.
+type Unread [Tiers]int
+
+// ahead returns how much is read before a call of a tier.
+func (unr Unread) ahead(tier int) (sum int) {
+	for num, val := range unr {
+		if num <= tier {
+			sum += val
+		} else {
+			// An engine finishes what it has begun of less urgent prompts.
+			sum += val / lowerTierDivisor
+		}
+	}
+	return sum
+}
+
+// lowerTierDivisor is the part of the less urgent work that a call waits for.
+const lowerTierDivisor = 3
+
+// InFlight is the work at one incarnation.
+type InFlight struct {
+	Unread  Unread
+	Running int
+}
+
+func (inf *InFlight) add(oth InFlight, sign int) {
+	for num := range inf.Unread {
+		inf.Unread[num] += sign * oth.Unread[num]
+	}
+	inf.Running += sign * oth.Running
+}
+
 // load is what is known of one incarnation.
 type load struct {
+	id uint64
+
 	mut sync.Mutex
-	// unread is the number of prompt tokens sent whose answers have not begun.
-	unread int
-	// running is the number of calls in flight.
-	running int
+	// own is the work from this node, peers the work from all others.
+	own, peers InFlight
+	// rate is the observed number of prompt tokens read in a millisecond; zero means none yet.
+	rate float64
 	// failures is the recent share of failed calls.
 	failures float64
 	// streak counts failures since the last success.
@@ -49,50 +95,79 @@
 
 // view is a consistent copy of a load.
 type view struct {
-	unread, running int
-	failures        float64
-	paused          bool
+	InFlight
+
+	rate     float64
+	failures float64
+	paused   bool
 }
 
 func (lod *load) view(now time.Time) (vew view) {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	return view{
-		unread:   lod.unread,
-		running:  lod.running,
+	vew = view{
+		InFlight: lod.own,
+		rate:     lod.rate,
 		failures: lod.failures,
 		paused:   now.Before(lod.until) || lod.trying,
 	}
+	vew.add(lod.peers, 1)
+	if vew.rate == 0 {
+		vew.rate = rateGuess
+	}
+	return vew
 }
 
 // Ticket is a call's place at an upstream.
 type Ticket struct {
-	load   *load
-	now    func() time.Time
+	load *load
+	now  func() time.Time
+	tier int
+	// unread is what the engine still has to read of the call.
 	unread int
-	tried  bool
-	once   sync.Once
+	// work is what the engine had to read up to the call's first event, when it was sent.
+	work  int
+	sent  time.Time
+	tried bool
+	once  sync.Once
 }
 
-func (lod *load) enter(unread int, now func() time.Time) *Ticket {
+// enter books a call that makes the engine read a number of tokens.
+func (lod *load) enter(unread, tier int, now func() time.Time) *Ticket {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	tic := &Ticket{load: lod, now: now, unread: unread}
+	tic := &Ticket{load: lod, now: now, tier: min(max(tier, 0), Tiers-1), unread: unread, sent: now()}
 	if lod.streak > 0 && !lod.until.IsZero() {
 		lod.trying = true
 		tic.tried = true
 	}
-	lod.unread += unread
-	lod.running++
+	all := lod.own
+	all.add(lod.peers, 1)
+	tic.work = unread + all.Unread.ahead(tic.tier)
+	lod.own.Unread[tic.tier] += unread
+	lod.own.Running++
 	return tic
 }
 
-// Begun reports the first event, after which the prompt has been read.
+// Begun reports the first event, after which the prompt has been read; further calls do nothing.
 func (tic *Ticket) Begun() {
-	tic.load.mut.Lock()
-	defer tic.load.mut.Unlock()
-	tic.load.unread -= tic.unread
+	lod := tic.load
+	lod.mut.Lock()
+	defer lod.mut.Unlock()
+	if tic.unread == 0 {
+		return
+	}
+	lod.own.Unread[tic.tier] -= tic.unread
 	tic.unread = 0
+	took := float64(tic.now().Sub(tic.sent).Microseconds()) / 1000
+	if tic.work < rateTokens || took <= 0 {
+		return
+	}
+	seen := min(max(float64(tic.work)/took, rateLeast), rateMost)
+	if lod.rate == 0 {
+		lod.rate = rateGuess
+	}
+	lod.rate += rateWeight * (seen - lod.rate)
 }
 
 // Done gives the place back; further calls do nothing.
@@ -103,8 +178,8 @@
 func (lod *load) leave(tic *Ticket, res Result) {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	lod.unread -= tic.unread
-	lod.running--
+	lod.own.Unread[tic.tier] -= tic.unread
+	lod.own.Running--
 	if tic.tried {
 		lod.trying = false
 	}
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -146,7 +146,7 @@
 		case ctx.Err() != nil:
 			return cou.expire(ctx)
 		case !cou.again(sta):
-			return cou.fail(sta)
+			return cou.fail()
 		}
 	}
 }
@@ -327,8 +327,8 @@
 }
 
 // fail ends a call that is not sent again.
-func (cou *course) fail(sta state) Report {
-	if sta == broken {
+func (cou *course) fail() Report {
+	if cou.begun {
 		cou.abort()
 	}
 	if cou.outcome() == router.Unknown {
