Let prompts cross between groups of engines at a cost, and log late answers

Change: engines of the other length are candidates at a cost of one late answer for short prompts and one and a half for long ones. The line for an answer names its targets, its longest pause and whether it was late.

--- a/internal/router/edge/front.go
+++ b/internal/router/edge/front.go
@@ -153,12 +153,13 @@
 }
 
 func (fro *Front) logReport(job send.Job, rep send.Report) {
+	late := job.Route.Target > 0 && rep.First > job.Route.Target || job.Route.GapTarget > 0 && rep.Pause > job.Route.GapTarget
 	lvl := slog.LevelInfo
-	if rep.Outcome == router.Ran && rep.Reason == "" {
+	if rep.Outcome == router.Ran && rep.Reason == "" && !late {
 		lvl = slog.LevelDebug
 	}
 	fro.log.Log(nil, lvl, "request done", "Request", job.Call.ID, "Route", job.Route.Name, "Workspace", job.Workspace,
 		"Tier", job.Tier, "Outcome", rep.Outcome, "Status", rep.Status, "Upstream", rep.Upstream, "Sends", rep.Sends,
 		"FirstMs", rep.First.Milliseconds(), "TookMs", fro.timers.Now().Sub(job.Call.Arrived).Milliseconds(),
-		"Events", rep.Events, "Reason", rep.Reason, "Manifest", fro.Version())
+		"TargetMs", job.Route.Target.Milliseconds(), "PauseMs", rep.Pause.Milliseconds(), "PauseTargetMs", job.Route.GapTarget.Milliseconds(), "Late", late, "Events", rep.Events, "Reason", rep.Reason, "Manifest", fro.Version())
 }
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -36,6 +36,9 @@
 	lateCentre    = 0.8
 	// defaultTarget is the target where the route has none.
 	defaultTarget = time.Second
+	// longForeign is what an engine for short prompts costs a long one, and shortForeign the reverse, in late answers.
+	longForeign = 1.5
+	shortForeign = 1.0
 	// domainCalls and regionCalls are the calls in flight that distance stands for at a plain service.
 	domainCalls = 1
 	regionCalls = 8
@@ -105,9 +108,13 @@
 			}
 		}
 	}
+	foreign := longForeign
+	if wnt.Prompt < shortPrompt {
+		foreign = shortForeign
+	}
 	least := math.Inf(1)
-	for rank, can := range ranked(home, group(cans, wnt.Prompt < shortPrompt)) {
-		lod := brd.load(can)
+	for rank, can := range brd.order(wnt, home, cans) {
+		lod := brd.load(can.Instance)
 		kept := 0
 		for num, pfx := range wnt.Chain {
 			if _, fnd := held[num][lod.id]; fnd {
@@ -116,11 +123,14 @@
 		}
 		vew := lod.view(now)
 		cost := vew.late(wnt, wnt.Prompt-kept)
-		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(rank)
+		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(min(rank, 8))
 		cost += runningCost*float64(vew.Running) + failureCost*vew.failures
-		cost += brd.distance(can, domainCost, regionCost)
+		cost += brd.distance(can.Instance, domainCost, regionCost)
+		if can.foreign {
+			cost += foreign
+		}
 		if cost < least {
-			best, read, least = can, wnt.Prompt-kept, cost
+			best, read, least = can.Instance, wnt.Prompt-kept, cost
 		}
 	}
 	return best, max(0, read)
@@ -164,6 +174,28 @@
 	return ord[num:]
 }
 
+// candidate is an engine in the order in which a call considers it.
+type candidate struct {
+	router.Instance
+	// foreign is set for engines that calls of another length keep to themselves.
+	foreign bool
+}
+
+// order returns the engines for a call of its length by their rank for its prefix, and then the others.
+func (brd *Board) order(wnt Want, home uint64, cans []router.Instance) (res []candidate) {
+	short := wnt.Prompt < shortPrompt
+	for _, can := range ranked(home, group(cans, short)) {
+		res = append(res, candidate{Instance: can})
+	}
+	if len(cans) < 2 {
+		return res
+	}
+	for _, can := range ranked(home, group(cans, !short)) {
+		res = append(res, candidate{Instance: can, foreign: true})
+	}
+	return res
+}
+
 // ranked orders engines for a chain of parts by rendezvous hashing.
 func ranked(home uint64, cans []router.Instance) []router.Instance {
 	res := slices.Clone(cans)
--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -123,9 +123,14 @@
 
 // relay passes whole events to the caller.
 func (cou *course) relay(txt []byte, rsp *http.Response) (err error) {
+	now := cou.sender.options.Timers.Now()
+	if cou.begun {
+		cou.pause = max(cou.pause, now.Sub(cou.last))
+	}
+	cou.last = now
 	if !cou.begun {
 		cou.begun = true
-		cou.first = cou.sender.options.Timers.Now().Sub(cou.job.Call.Arrived)
+		cou.first = now.Sub(cou.job.Call.Arrived)
 		cou.sender.options.Dialect.Relay(cou.writer.Header(), rsp.Header)
 		cou.writer.WriteHeader(rsp.StatusCode)
 	}
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -47,6 +47,8 @@
 	First time.Duration
 	// Events is the number of events relayed.
 	Events int
+	// Pause is the longest time between two events.
+	Pause time.Duration
 	// Reason tells why the call was not answered by an upstream.
 	Reason string
 }
@@ -116,6 +118,9 @@
 	begun      bool
 	first      time.Duration
 	events     int
+	// last is when the last event came, and pause the longest time between two.
+	last  time.Time
+	pause time.Duration
 	lastEvent  string
 	status     int
 }
@@ -368,6 +373,7 @@
 		Sends:    cou.sends,
 		First:    cou.first,
 		Events:   cou.events,
+		Pause:    cou.pause,
 		Reason:   cou.reason,
 	}
 }
