Count what a prompt does to the pauses of running streams

A chunk of a prompt stretches every token of the batch. Change: the cost of an engine holds the harm of reading to the fragility of what runs there, and for the call itself the share of time that the engine spent reading. Crossing between short and long prompts costs 0.3 of a late answer now.

--- a/internal/router/edge/load.go
+++ b/internal/router/edge/load.go
@@ -13,7 +13,7 @@
 // Describe adds this node's load to a digest.
 func (lov loadView) Describe(dig *wire.Digest) {
 	for id, inf := range lov.board.Own() {
-		lod := &wire.InstanceLoad{Instance: id, Running: uint32(inf.Running)}
+		lod := &wire.InstanceLoad{Instance: id, Running: uint32(max(0, inf.Running)), Fragile: float32(inf.Fragile)}
 		for _, num := range inf.Unread {
 			lod.Unread = append(lod.Unread, uint32(max(0, num)))
 		}
@@ -28,7 +28,7 @@
 func (lov loadView) Learn(dig *wire.Digest) {
 	infs := make(map[uint64]place.InFlight, len(dig.GetLoads()))
 	for _, lod := range dig.GetLoads() {
-		inf := place.InFlight{Running: int(lod.GetRunning())}
+		inf := place.InFlight{Running: int(lod.GetRunning()), Fragile: float64(lod.GetFragile())}
 		for num, val := range lod.GetUnread() {
 			if num < place.Tiers {
 				inf.Unread[num] = int(val)
--- a/internal/router/place/board.go
+++ b/internal/router/place/board.go
@@ -139,6 +139,8 @@
 	Output int
 	Tier   int
 	Target time.Duration
+	// Gap is the longest pause between events that meets the objective; zero means that there is none.
+	Gap time.Duration
 }
 
 // Prefix is a beginning of a prompt.
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -36,9 +36,16 @@
 	lateCentre    = 0.8
 	// defaultTarget is the target where the route has none.
 	defaultTarget = time.Second
+	// readingPause is about the time between two events of a stream while its engine reads a prompt.
+	readingPause = 140 * time.Millisecond
+	// pauseCost is what an engine that reads all the time costs a call that is certain to miss its pause then, in late answers.
+	pauseCost = 1.6
+	// harmCost is the share of the running calls that reading a prompt for harmReading or longer makes late.
+	harmCost    = 0.2
+	harmReading = 100 * time.Millisecond
 	// longForeign is what an engine for short prompts costs a long one, and shortForeign the reverse, in late answers.
-	longForeign = 1.5
-	shortForeign = 1.0
+	longForeign  = 0.3
+	shortForeign = 0.3
 	// domainCalls and regionCalls are the calls in flight that distance stands for at a plain service.
 	domainCalls = 1
 	regionCalls = 8
@@ -54,12 +61,12 @@
 	}
 	if wnt.Prompt == 0 {
 		ins = brd.plain(cans)
-		return ins, brd.load(ins).enter(0, wnt.Tier, brd.options.Timers.Now), true
+		return ins, brd.load(ins).enter(0, wnt, brd.options.Timers.Now), true
 	}
 	ins, read := brd.engine(wnt, cans)
 	lod := brd.load(ins)
 	brd.caches.place(wnt.Chain, lod.id, brd.options.Timers.Now())
-	return ins, lod.enter(read, wnt.Tier, brd.options.Timers.Now), true
+	return ins, lod.enter(read, wnt, brd.options.Timers.Now), true
 }
 
 // usable leaves out instances that are paused or to be avoided, unless nothing else is left.
@@ -126,6 +133,7 @@
 		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(min(rank, 8))
 		cost += runningCost*float64(vew.Running) + failureCost*vew.failures
 		cost += brd.distance(can.Instance, domainCost, regionCost)
+		cost += pauseCost*wnt.fragility()*vew.reading + vew.harm(wnt.Prompt-kept)
 		if can.foreign {
 			cost += foreign
 		}
@@ -136,6 +144,20 @@
 	return best, max(0, read)
 }
 
+// fragility returns the chance that a call misses its pause while its engine reads a prompt.
+func (wnt Want) fragility() float64 {
+	if wnt.Gap <= 0 {
+		return 0
+	}
+	return min(1, float64(readingPause)/float64(wnt.Gap))
+}
+
+// harm returns what reading a prompt costs the calls that run at the engine, in late answers.
+func (vew view) harm(read int) float64 {
+	took := float64(read) / vew.rate
+	return harmCost * vew.Fragile * min(1, took/float64(harmReading.Milliseconds()))
+}
+
 // late returns the cost of the estimated time to the first event, in late answers.
 func (vew view) late(wnt Want, read int) float64 {
 	target := wnt.Target
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -22,6 +23,9 @@
 	rateTokens = 1500
 )
 
+// readingHalfLife is the time in which the memory of past reading halves.
+const readingHalfLife = time.Second
+
 // Tiers is the number of tiers that placement tells apart; lower ones count as the last.
 const Tiers = 4
 
@@ -41,6 +45,14 @@
 	return sum
 }
 
+// total returns all that is unread.
+func (unr Unread) total() (sum int) {
+	for _, val := range unr {
+		sum += val
+	}
+	return sum
+}
+
 // lowerTierDivisor is the part of the less urgent work that a call waits for.
 const lowerTierDivisor = 3
 
@@ -48,6 +60,8 @@
 type InFlight struct {
 	Unread  Unread
 	Running int
+	// Fragile is how easily the running calls miss their pauses when the engine reads a prompt: the sum of their fragility.
+	Fragile float64
 }
 
 func (inf *InFlight) add(oth InFlight, sign int) {
@@ -55,6 +69,7 @@
 		inf.Unread[num] += sign * oth.Unread[num]
 	}
 	inf.Running += sign * oth.Running
+	inf.Fragile += float64(sign) * oth.Fragile
 }
 
 // load is what is known of one incarnation.
@@ -74,6 +89,9 @@
 	until time.Time
 	// trying is set while a paused upstream is tried by one call.
 	trying bool
+	// reading is the recent share of time in which the engine had something to read, as of looked.
+	reading float64
+	looked  time.Time
 }
 
 // Result is how a call at an upstream ended.
@@ -100,6 +118,7 @@
 	rate     float64
 	failures float64
 	paused   bool
+	reading  float64
 }
 
 func (lod *load) view(now time.Time) (vew view) {
@@ -115,9 +134,24 @@
 	if vew.rate == 0 {
 		vew.rate = rateGuess
 	}
+	lod.look(now, vew.Unread.total() > 0)
+	vew.reading = lod.reading
 	return vew
 }
 
+// look adds the time since the last look to the share of time spent reading.
+func (lod *load) look(now time.Time, reads bool) {
+	if lod.looked.IsZero() {
+		lod.looked = now
+	}
+	keep := math.Exp2(-now.Sub(lod.looked).Seconds() / readingHalfLife.Seconds())
+	lod.looked = now
+	lod.reading *= keep
+	if reads {
+		lod.reading += 1 - keep
+	}
+}
+
 // Ticket is a call's place at an upstream.
 type Ticket struct {
 	load *load
@@ -126,17 +160,19 @@
 	// unread is what the engine still has to read of the call.
 	unread int
 	// work is what the engine had to read up to the call's first event, when it was sent.
-	work  int
-	sent  time.Time
-	tried bool
-	once  sync.Once
+	work int
+	sent time.Time
+	// fragile is the call's share of the engine's fragility.
+	fragile float64
+	tried   bool
+	once    sync.Once
 }
 
 // enter books a call that makes the engine read a number of tokens.
-func (lod *load) enter(unread, tier int, now func() time.Time) *Ticket {
+func (lod *load) enter(unread int, wnt Want, now func() time.Time) *Ticket {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	tic := &Ticket{load: lod, now: now, tier: min(max(tier, 0), Tiers-1), unread: unread, sent: now()}
+	tic := &Ticket{load: lod, now: now, tier: min(max(wnt.Tier, 0), Tiers-1), unread: unread, sent: now(), fragile: wnt.fragility()}
 	if lod.streak > 0 && !lod.until.IsZero() {
 		lod.trying = true
 		tic.tried = true
@@ -146,6 +182,7 @@
 	tic.work = unread + all.Unread.ahead(tic.tier)
 	lod.own.Unread[tic.tier] += unread
 	lod.own.Running++
+	lod.own.Fragile += tic.fragile
 	return tic
 }
 
@@ -180,6 +217,7 @@
 	defer lod.mut.Unlock()
 	lod.own.Unread[tic.tier] -= tic.unread
 	lod.own.Running--
+	lod.own.Fragile = max(0, lod.own.Fragile-tic.fragile)
 	if tic.tried {
 		lod.trying = false
 	}
--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -173,4 +173,3 @@
 	lin, _, _ := bytes.Cut(txt, []byte("\n"))
 	return string(bytes.TrimSpace(lin))
 }
-
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -119,10 +119,10 @@
 	first      time.Duration
 	events     int
 	// last is when the last event came, and pause the longest time between two.
-	last  time.Time
-	pause time.Duration
-	lastEvent  string
-	status     int
+	last      time.Time
+	pause     time.Duration
+	lastEvent string
+	status    int
 }
 
 func (cou *course) deadline() time.Time {
@@ -230,6 +230,7 @@
 		Output:  cal.OutputTokens,
 		Tier:    cou.job.Tier,
 		Target:  cou.job.Route.Target,
+		Gap:     cou.job.Route.GapTarget,
 	}
 }
 
