--- /dev/null
+++ b/internal/router/follow/follow_test.go
@@ -0,0 +1,142 @@
+package follow_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
+)
+
+const patience = 10 * time.Second
+
+type started struct {
+	*follow.Follower
+
+	source  *stand.Source
+	updates chan follow.Update
+}
+
+func start(t *testing.T, src *stand.Source) started {
+	t.Helper()
+	upds := make(chan follow.Update, 64)
+	fol := follow.New(follow.Options{
+		Source: src,
+		Kind:   router.Instances,
+		Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Apply:  func(upd follow.Update) { upds <- upd },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		fol.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return started{Follower: fol, source: src, updates: upds}
+}
+
+func (sta started) next(t *testing.T) follow.Update {
+	t.Helper()
+	select {
+	case upd := <-sta.updates:
+		return upd
+	case <-time.After(patience):
+		t.Fatal("no update")
+		return follow.Update{}
+	}
+}
+
+func TestFollowsChanges(t *testing.T) {
+	src := stand.NewSource()
+	src.Set(router.Instances, "one", []byte("1"))
+	sta := start(t, src)
+	if upd := sta.next(t); len(upd.Changed) != 1 || upd.Changed[0].Key != "one" {
+		t.Fatalf("first update: %+v", upd)
+	}
+	src.Set(router.Instances, "one", nil)
+	if upd := sta.next(t); len(upd.Changed) != 1 || !upd.Changed[0].Deleted {
+		t.Fatalf("deletion: %+v", upd)
+	}
+}
+
+func TestReadsAllAfterHistoryIsDiscarded(t *testing.T) {
+	src := stand.NewSource()
+	src.Set(router.Instances, "one", []byte("1"))
+	src.Set(router.Instances, "two", []byte("1"))
+	sta := start(t, src)
+	sta.next(t)
+	src.Fail(router.ErrUnavailable)
+	src.Set(router.Instances, "one", nil)
+	src.Compact()
+	src.Fail(nil)
+	upd := sta.next(t)
+	for len(upd.Changed) == 0 {
+		upd = sta.next(t)
+	}
+	if rec := upd.Changed[0]; rec.Key != "one" || !rec.Deleted {
+		t.Fatalf("the record that is missing in the whole copy: %+v", upd)
+	}
+}
+
+func TestTellsThatTheStoreIsBack(t *testing.T) {
+	src := stand.NewSource()
+	src.Set(router.Instances, "one", []byte("1"))
+	sta := start(t, src)
+	sta.next(t)
+	src.Fail(router.ErrUnavailable)
+	for end := time.Now().Add(patience); sta.Failing() == 0; {
+		if time.Now().After(end) {
+			t.Fatal("the failure is not noticed")
+		}
+		runtime.Gosched()
+	}
+	src.Fail(nil)
+	if upd := sta.next(t); !upd.Regained {
+		t.Fatalf("update after the outage: %+v", upd)
+	}
+}
+
+func TestPeersCopyNeverGoesBack(t *testing.T) {
+	cases := map[string]struct {
+		offer   router.Changes
+		want    string
+		changed int
+	}{
+		"newer copy": {
+			router.Changes{Version: 9, Whole: true, Records: []router.Record{{Key: "one", Value: []byte("new"), Version: 8}}}, "new", 1,
+		},
+		"older copy": {
+			router.Changes{Version: 3, Whole: true, Records: []router.Record{{Key: "one", Value: []byte("old"), Version: 2}}}, "now", 0,
+		},
+		"newer copy without the record": {router.Changes{Version: 9, Whole: true}, "", 1},
+		"older copy without the record": {router.Changes{Version: 3, Whole: true}, "now", 0},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			var changed int
+			fol := follow.New(follow.Options{
+				Log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+				Apply: func(upd follow.Update) { changed += len(upd.Changed) },
+			})
+			fol.Offer(router.Changes{Version: 5, Whole: true, Records: []router.Record{{Key: "one", Value: []byte("now"), Version: 5}}})
+			changed = 0
+			fol.Offer(cas.offer)
+			got := ""
+			for _, rec := range fol.Copy().Records {
+				got = string(rec.Value)
+			}
+			if got != cas.want || changed != cas.changed {
+				t.Errorf("value %q, %d changes; want %q, %d", got, changed, cas.want, cas.changed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/router/place/place_test.go
@@ -0,0 +1,196 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+)
+
+const (
+	engines = 12
+	target  = 2 * time.Second
+	pause   = 800 * time.Millisecond
+)
+
+func never(router.Instance) bool { return false }
+
+type bench struct {
+	*place.Board
+
+	timers    *timer.Manual
+	instances []router.Instance
+}
+
+func newBench(nums ...int) bench {
+	tms := timer.NewManual(time.Unix(1000, 0))
+	ben := bench{timers: tms, Board: place.New(place.Options{
+		Timers:        tms,
+		FailureDomain: "near",
+		Regions:       map[string]string{"near": "one", "far": "two"},
+	})}
+	num := engines
+	if len(nums) > 0 {
+		num = nums[0]
+	}
+	for idx := range num {
+		ben.instances = append(ben.instances, router.Instance{ID: fmt.Sprintf("e%02d", idx), Service: "engines", FailureDomain: "near"})
+	}
+	return ben
+}
+
+func (ben bench) choose(t *testing.T, wnt place.Want) (router.Instance, *place.Ticket) {
+	t.Helper()
+	ins, tic, ok := ben.Choose(wnt, ben.instances, never)
+	if !ok {
+		t.Fatal("no engine was chosen")
+	}
+	return ins, tic
+}
+
+// long is a call whose prompt begins with a shared part.
+func long(part uint64) place.Want {
+	return place.Want{
+		Chain: place.Shared([]router.Part{{ID: part, Tokens: 13000}, {ID: 1 << 40, Tokens: 4000}}), Prompt: 17000,
+		Target: target, Gap: pause, Tier: 2,
+	}
+}
+
+func short() place.Want {
+	return place.Want{Prompt: 1400, Target: 500 * time.Millisecond, Gap: 200 * time.Millisecond}
+}
+
+func TestSharedPartIsReadOnce(t *testing.T) {
+	ben := newBench()
+	first, tic := ben.choose(t, long(7))
+	tic.Begun()
+	tic.Done(place.Served)
+	for range 20 {
+		ins, tic := ben.choose(t, long(7))
+		if ins.ID != first.ID {
+			t.Fatalf("the part is at %s, the call went to %s", first.ID, ins.ID)
+		}
+		tic.Begun()
+		tic.Done(place.Served)
+	}
+}
+
+func TestNodesAgreeWithoutMessages(t *testing.T) {
+	one, two := newBench(), newBench()
+	for part := range uint64(50) {
+		fst, ftc := one.choose(t, long(part))
+		snd, stc := two.choose(t, long(part))
+		if fst.ID != snd.ID {
+			t.Errorf("part %d is read at %s and at %s", part, fst.ID, snd.ID)
+		}
+		for _, tic := range []*place.Ticket{ftc, stc} {
+			tic.Begun()
+			tic.Done(place.Served)
+		}
+	}
+}
+
+// TestHotPartSpreads has one part get all calls at once: reading it again costs less than waiting behind all of them.
+func TestHotPartSpreads(t *testing.T) {
+	ben := newBench()
+	used := make(map[string]int)
+	for range 60 {
+		ins, _ := ben.choose(t, long(7))
+		used[ins.ID]++
+	}
+	if len(used) < engines/3 {
+		t.Errorf("60 calls at once went to %d engines: %v", len(used), used)
+	}
+}
+
+// TestCrestOfLongPromptsLeavesShortOnesFree has long prompts arrive faster than engines read; short ones still find an engine with little to read.
+func TestCrestOfLongPromptsLeavesShortOnesFree(t *testing.T) {
+	ben := newBench()
+	unread := make(map[string]int)
+	for part := range uint64(40) {
+		ins, _ := ben.choose(t, long(part))
+		unread[ins.ID] += long(part).Prompt
+	}
+	mean := 0
+	for _, num := range unread {
+		mean += num / engines
+	}
+	for range 10 {
+		ins, tic := ben.choose(t, short())
+		if unread[ins.ID] > mean {
+			t.Errorf("a short prompt went behind %d tokens; the mean is %d", unread[ins.ID], mean)
+		}
+		tic.Begun()
+	}
+}
+
+func TestPeersLoadCounts(t *testing.T) {
+	ben, peer := newBench(), newBench()
+	for range 30 {
+		_, _ = peer.choose(t, long(7))
+	}
+	home, tic := ben.choose(t, long(7))
+	tic.Begun()
+	tic.Done(place.Served)
+	ben.Peer("peer", peer.Own())
+	ins, _ := ben.choose(t, long(7))
+	if ins.ID == home.ID {
+		t.Errorf("the call went behind the peer's calls at %s", home.ID)
+	}
+	ben.Peer("peer", nil)
+	if got := ben.Own(); len(got) != 1 {
+		t.Errorf("own work at %d engines, want 1", len(got))
+	}
+}
+
+func TestPeersPlacementsCount(t *testing.T) {
+	ben, peer := newBench(), newBench()
+	for range 5 {
+		_, _ = peer.choose(t, long(9))
+	}
+	other, _ := peer.choose(t, long(7))
+	ben.choose(t, short())
+	ben.PeerPlaced(peer.Placed())
+	if ins, _ := ben.choose(t, long(7)); ins.ID != other.ID {
+		t.Errorf("the part was read at %s, the call went to %s", other.ID, ins.ID)
+	}
+}
+
+func TestFailedUpstreamPausesAndReturns(t *testing.T) {
+	ben := newBench(2)
+	bad := ben.instances[0]
+	avoid := func(ins router.Instance) bool { return ins.ID != bad.ID }
+	_, tic, _ := ben.Choose(short(), ben.instances, avoid)
+	tic.Done(place.Unreachable)
+	for range 5 {
+		if ins, _ := ben.choose(t, short()); ins.ID == bad.ID {
+			t.Fatal("a paused upstream got work")
+		}
+	}
+	ben.timers.Advance(time.Second)
+	_, tic, _ = ben.Choose(short(), ben.instances, avoid)
+	tic.Done(place.Served)
+	if _, _, ok := ben.Choose(short(), ben.instances, avoid); !ok {
+		t.Error("an upstream that served is not chosen")
+	}
+}
+
+func TestLastUpstreamIsUsedThoughPaused(t *testing.T) {
+	ben := newBench(1)
+	_, tic := ben.choose(t, short())
+	tic.Done(place.Unreachable)
+	ben.choose(t, short())
+}
+
+func TestPlainCallsStayNear(t *testing.T) {
+	ben := newBench(1)
+	ben.instances = append(ben.instances, router.Instance{ID: "far", FailureDomain: "far"})
+	for num := range 4 {
+		if ins, _ := ben.choose(t, place.Want{}); ins.ID == "far" {
+			t.Errorf("call %d left the region", num)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/source.go
@@ -0,0 +1,142 @@
+package stand
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+)
+
+// Source is a metadata store in memory; it implements router.Source.
+type Source struct {
+	mut     sync.Mutex
+	version int64
+	records map[router.RecordKind]map[string]router.Record
+	history map[router.RecordKind][]router.Record
+	// oldest is the version up to which history was discarded.
+	oldest  int64
+	down    error
+	changed chan struct{}
+	calls   int
+}
+
+// NewSource returns an empty Source.
+func NewSource() *Source {
+	return &Source{
+		records: make(map[router.RecordKind]map[string]router.Record),
+		history: make(map[router.RecordKind][]router.Record),
+		changed: make(chan struct{}),
+	}
+}
+
+// Set writes a record, or deletes it when the value is nil.
+func (src *Source) Set(knd router.RecordKind, key string, val []byte) (version int64) {
+	src.mut.Lock()
+	defer src.mut.Unlock()
+	src.version++
+	rec := router.Record{Key: key, Value: val, Version: src.version, Deleted: val == nil}
+	if src.records[knd] == nil {
+		src.records[knd] = make(map[string]router.Record)
+	}
+	if rec.Deleted {
+		delete(src.records[knd], key)
+	} else {
+		src.records[knd][key] = rec
+	}
+	src.history[knd] = append(src.history[knd], rec)
+	src.wake()
+	return src.version
+}
+
+// Fail makes all calls fail with an error until it is nil.
+func (src *Source) Fail(err error) {
+	src.mut.Lock()
+	defer src.mut.Unlock()
+	src.down = err
+	src.wake()
+}
+
+// Compact discards the history.
+func (src *Source) Compact() {
+	src.mut.Lock()
+	defer src.mut.Unlock()
+	src.version++
+	src.oldest = src.version
+	src.history = make(map[router.RecordKind][]router.Record)
+	src.wake()
+}
+
+// Calls returns the number of calls so far.
+func (src *Source) Calls() int {
+	src.mut.Lock()
+	defer src.mut.Unlock()
+	return src.calls
+}
+
+func (src *Source) wake() {
+	close(src.changed)
+	src.changed = make(chan struct{})
+}
+
+// Read returns all records of a kind.
+func (src *Source) Read(_ context.Context, knd router.RecordKind) (chs router.Changes, err error) {
+	src.mut.Lock()
+	defer src.mut.Unlock()
+	src.calls++
+	if src.down != nil {
+		return router.Changes{}, src.down
+	}
+	chs = router.Changes{Version: src.version, Whole: true}
+	for _, rec := range src.records[knd] {
+		chs.Records = append(chs.Records, rec)
+	}
+	return chs, nil
+}
+
+// Follow waits for changes after a version.
+func (src *Source) Follow(ctx context.Context, knd router.RecordKind, after int64, wait time.Duration) (chs router.Changes, err error) {
+	tmr := time.NewTimer(wait)
+	defer tmr.Stop()
+	src.mut.Lock()
+	src.calls++
+	for {
+		chs, err = src.since(knd, after)
+		changed := src.changed
+		src.mut.Unlock()
+		if err != nil || len(chs.Records) > 0 {
+			return chs, err
+		}
+		select {
+		case <-changed:
+		case <-tmr.C:
+			return chs, nil
+		case <-ctx.Done():
+			return router.Changes{}, ctx.Err()
+		}
+		src.mut.Lock()
+	}
+}
+
+// since returns the changes after a version; the lock is held.
+func (src *Source) since(knd router.RecordKind, after int64) (chs router.Changes, err error) {
+	switch {
+	case src.down != nil:
+		return router.Changes{}, src.down
+	case after < src.oldest:
+		return router.Changes{}, router.ErrCompacted
+	}
+	chs.Version = src.version
+	for _, rec := range src.history[knd] {
+		if rec.Version > after {
+			chs.Records = append(chs.Records, rec)
+		}
+	}
+	return chs, nil
+}
+
+// Join writes the record of a node: its name, address and failure domain, separated by spaces.
+func (src *Source) Join(_ context.Context, mem router.Member) (err error) {
+	src.Set(router.Members, mem.Name, []byte(mem.Name+" "+mem.Address+" "+mem.FailureDomain))
+	return nil
+}
