Write logs without blocking, serve metrics by route, explain a request

Failed, refused and late requests have a line each, ones that went well ten a second. hornbeamdyke explain prints a request's decisions with the beliefs in force.

--- a/cmd/hornbeamdyke/main.go
+++ b/cmd/hornbeamdyke/main.go
@@ -49,6 +49,7 @@
 		{"apply", "apply a configuration", "Checks a configuration and makes it the next revision.", &applyCommand{out: out}},
 		{"drain", "stop a node gracefully", "Begins a graceful stop of a node; it cuts off no request.", &drainCommand{out: out}},
 		{"report", "show service-level burn", "Gathers from all live nodes how fast each class uses up its error budget.", &reportCommand{out: out}},
+		{"explain", "explain a request", "Reads the logs of nodes and prints what was decided about one request, with the beliefs in force then.", &explainCommand{out: out}},
 		{"version", "show the version", "Prints the version.", &versionCommand{out: out}},
 	}
 }
--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -44,7 +44,9 @@
 	if cmd.Debug {
 		lvl = slog.LevelDebug
 	}
-	log := logs.New(os.Stderr, lvl).With("Node", set.Name)
+	snk := logs.NewSink(os.Stdout)
+	defer snk.Close()
+	log := logs.New(snk, lvl).With("Node", set.Name)
 	if set.Platform.Store != "" {
 		return edge.New(edge.Options{
 			Settings: set,
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -132,6 +132,8 @@
 	Store string
 	// Mesh is the address at which other nodes reach this one, for datagrams and for HTTP.
 	Mesh string
+	// Metrics is the address at which metrics are served; empty serves them at Admin.
+	Metrics string
 	// FailureDomains are all failure domains with their regions.
 	FailureDomains []router.FailureDomain
 	// Grace is the time from SIGTERM to SIGKILL.
--- a/internal/router/edge/front.go
+++ b/internal/router/edge/front.go
@@ -8,7 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/meter"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/route"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
 )
@@ -16,6 +19,12 @@
 // defaultBody bounds a request's body where the manifest does not.
 const defaultBody = 4 << 20
 
+const (
+	// calmLines is how many requests a second that went well have a line of their own, and calmBurst how many at once.
+	calmLines = 10
+	calmBurst = 20
+)
+
 // notReadyWait is the Retry-After while a node has no manifest or an old one; both are read again within a second.
 const notReadyWait = 500 * time.Millisecond
 
@@ -24,7 +33,11 @@
 	timers  router.Timers
 	dialect router.Dialect
 	sender  *send.Sender
-	log     *slog.Logger
+	routes  *meter.Routes
+	meter   *meter.Meter
+	// calm bounds the lines about requests that went well; failed ones are always told.
+	calm *rate.Limiter
+	log  *slog.Logger
 	// index is nil until a manifest was read.
 	index atomic.Pointer[route.Index]
 	// stale reports whether the manifest may be older than the newest one.
@@ -147,6 +160,7 @@
 	if cal != nil {
 		id = cal.ID
 	}
+	fro.meter.Event("refused_" + ref.Code)
 	fro.log.Info("request refused", "Request", id, "Host", req.Host, "Path", req.URL.Path, "Status", ref.Status,
 		"Code", ref.Code, "Manifest", fro.Version(), "Stale", fro.stale())
 	send.WriteRefusal(wri, ref)
@@ -154,11 +168,14 @@
 
 func (fro *Front) logReport(job send.Job, rep send.Report) {
 	late := job.Route.Target > 0 && rep.First > job.Route.Target || job.Route.GapTarget > 0 && rep.Pause > job.Route.GapTarget
-	lvl := slog.LevelInfo
-	if rep.Outcome == router.Ran && rep.Reason == "" && !late {
-		lvl = slog.LevelDebug
-	}
-	fro.log.Log(nil, lvl, "request done", "Request", job.Call.ID, "Route", job.Route.Name, "Workspace", job.Workspace,
+	fro.routes.Observe(meter.RouteObservation{
+		Route: job.Route.Name, Outcome: string(rep.Outcome), Status: rep.Status, First: rep.First, Pause: rep.Pause, Sends: rep.Sends, Late: late,
+	})
+	if rep.Outcome == router.Ran && rep.Reason == "" && !late && !fro.calm.Allow() {
+		fro.meter.Event("line_left_out")
+		return
+	}
+	fro.log.Info("request done", "Request", job.Call.ID, "Route", job.Route.Name, "Workspace", job.Workspace,
 		"Tier", job.Tier, "Outcome", rep.Outcome, "Status", rep.Status, "Upstream", rep.Upstream, "Sends", rep.Sends,
 		"FirstMs", rep.First.Milliseconds(), "TookMs", fro.timers.Now().Sub(job.Call.Arrived).Milliseconds(),
 		"TargetMs", job.Route.Target.Milliseconds(), "PauseMs", rep.Pause.Milliseconds(), "PauseTargetMs", job.Route.GapTarget.Milliseconds(), "Late", late, "Events", rep.Events, "Reason", rep.Reason, "Manifest", fro.Version())
--- a/internal/router/edge/load.go
+++ b/internal/router/edge/load.go
@@ -1,17 +1,50 @@
 package edge
 
 import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
-// loadView carries the load on a board to peers and back; it implements mesh.Load.
+// strikeLife is how long a strike is told in every digest, so that lost ones do not matter; guard counts repeats within a second once.
+const strikeLife = 500 * time.Millisecond
+
+// loadView carries load and crashes to peers and back; it implements mesh.Load.
 type loadView struct {
-	board *place.Board
+	board  *place.Board
+	guard  *guard.Guard
+	timers router.Timers
+
+	mut     sync.Mutex
+	strikes []guard.Strike
+}
+
+// strike records a crash and tells the peers.
+func (lov *loadView) strike(stk guard.Strike) {
+	if !lov.guard.Add(stk) {
+		return
+	}
+	lov.mut.Lock()
+	defer lov.mut.Unlock()
+	lov.strikes = append(lov.strikes, stk)
+}
+
+// recent returns the strikes that peers are told.
+func (lov *loadView) recent() []guard.Strike {
+	lov.mut.Lock()
+	defer lov.mut.Unlock()
+	now := lov.timers.Now()
+	lov.strikes = slices.DeleteFunc(lov.strikes, func(stk guard.Strike) bool { return now.Sub(stk.At) > strikeLife })
+	return slices.Clone(lov.strikes)
 }
 
 // Describe adds this node's load to a digest.
-func (lov loadView) Describe(dig *wire.Digest) {
+func (lov *loadView) Describe(dig *wire.Digest) {
 	for id, inf := range lov.board.Own() {
 		lod := &wire.InstanceLoad{Instance: id, Running: uint32(max(0, inf.Running)), Fragile: float32(inf.Fragile)}
 		for _, num := range inf.Unread {
@@ -19,13 +52,16 @@
 		}
 		dig.Loads = append(dig.Loads, lod)
 	}
+	for _, stk := range lov.recent() {
+		dig.Strikes = append(dig.Strikes, &wire.CrashStrike{Request: stk.Digest, Instance: stk.Upstream})
+	}
 	for _, plc := range lov.board.Placed() {
 		dig.Placements = append(dig.Placements, &wire.Placement{Prefix: plc.Prefix, Instance: plc.Instance})
 	}
 }
 
 // Learn takes a peer's load.
-func (lov loadView) Learn(dig *wire.Digest) {
+func (lov *loadView) Learn(dig *wire.Digest) {
 	infs := make(map[uint64]place.InFlight, len(dig.GetLoads()))
 	for _, lod := range dig.GetLoads() {
 		inf := place.InFlight{Running: int(lod.GetRunning()), Fragile: float64(lod.GetFragile())}
@@ -37,6 +73,10 @@
 		infs[lod.GetInstance()] = inf
 	}
 	lov.board.Peer(dig.GetNode(), infs)
+	for _, stk := range dig.GetStrikes() {
+		// Repeats of a strike within its life count once.
+		lov.guard.Add(guard.Strike{Digest: stk.GetRequest(), Upstream: stk.GetInstance(), At: lov.timers.Now()})
+	}
 	pls := make([]place.Placement, 0, len(dig.GetPlacements()))
 	for _, plc := range dig.GetPlacements() {
 		pls = append(pls, place.Placement{Prefix: plc.GetPrefix(), Instance: plc.GetInstance()})
@@ -45,6 +85,6 @@
 }
 
 // Lose forgets the load of a peer that is not heard any more.
-func (lov loadView) Lose(name string) {
+func (lov *loadView) Lose(name string) {
 	lov.board.Peer(name, nil)
 }
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -13,14 +13,17 @@
 
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
+	"golang.org/x/time/rate"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/link"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/mesh"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/meter"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
@@ -66,7 +69,9 @@
 	instances *follow.Follower
 	mesh      *mesh.Mesh
 	budget    *budget.Book
+	meter     *meter.Meter
 	stopping  atomic.Bool
+	closers   []func()
 	// settings are those that were read last; addresses and names count from the start only.
 	settings atomic.Pointer[conf.Node]
 }
@@ -93,17 +98,25 @@
 	})
 	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest})
 	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply})
+	grd, stop := guard.New(opt.Timers, send.CrashStrikes)
+	nod.closers = append(nod.closers, stop)
+	lov := &loadView{board: board, guard: grd, timers: opt.Timers}
 	nod.mesh = mesh.New(mesh.Options{
 		Self:   router.Member{Name: set.Name, Address: set.Platform.Mesh, FailureDomain: set.FailureDomain},
 		Timers: opt.Timers,
 		Log:    opt.Log,
 		Source: opt.Source,
 		Codec:  opt.Codec,
-		Load:   loadView{board: board},
+		Load:   lov,
 		Copies: map[router.RecordKind]*follow.Follower{router.Manifests: nod.manifests, router.Instances: nod.instances},
 	})
 	nod.budget = budget.NewBook(budgetSafety * set.Platform.RetryReserve / lonelyShare)
+	met := meter.New(set.Name, opt.Log)
+	nod.meter = met
 	nod.front = &Front{
+		meter:   met,
+		routes:  meter.NewRoutes(met),
+		calm:    rate.NewLimiter(calmLines, calmBurst),
 		timers:  opt.Timers,
 		dialect: opt.Dialect,
 		log:     opt.Log,
@@ -115,6 +128,8 @@
 			Board:      board,
 			Links:      links,
 			Budget:     nod.budget,
+			Guard:      grd,
+			Strike:     lov.strike,
 			Log:        opt.Log,
 			RetryShare: budgetSafety * set.Platform.RetryShare,
 		}),
@@ -160,6 +175,13 @@
 	if _, err := nod.listen(&grp, set.Admin, nod.adminHandler()); err != nil {
 		return err
 	}
+	if set.Platform.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", nod.meter.Handler())
+		if _, err := nod.listen(&grp, set.Platform.Metrics, mux); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, fol := range []*follow.Follower{nod.manifests, nod.instances} {
@@ -178,6 +200,12 @@
 	nod.addStop(&grp, srv)
 	nod.options.Log.Info("node started", "Listen", set.Listen, "FailureDomain", set.FailureDomain, "Region", set.Region)
 	err = grp.Run()
+	for _, clo := range nod.closers {
+		clo()
+	}
+	if cerr := nod.meter.Close(); cerr != nil {
+		nod.options.Log.Warn("metrics not closed", "Error", cerr.Error())
+	}
 	if errors.Is(err, errStopped) {
 		nod.options.Log.Info("node stopped")
 		return nil
@@ -195,6 +223,9 @@
 			wri.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	if nod.settings.Load().Platform.Metrics == "" {
+		mux.Handle("GET /metrics", nod.meter.Handler())
+	}
 	return mux
 }
 
--- a/internal/router/guard/guard.go
+++ b/internal/router/guard/guard.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// strikesToQuarantine is the number of crashes after which a request is refused.
-	strikesToQuarantine = 2
+	// Strikes is the number of crashes after which a request is refused, where nothing else is said.
+	Strikes = 2
 	// sameCrash is how close in time two strikes by one upstream count as one crash.
 	sameCrash = time.Second
 	// strikeLife is how long a strike is remembered.
@@ -27,6 +27,8 @@
 // Guard remembers strikes by digest, in shards with a lock each.
 type Guard struct {
 	timers router.Timers
+	// most is the number of crashes after which a request is refused.
+	most   int
 	shards [shards]shard
 }
 
@@ -35,9 +37,9 @@
 	strikes map[string][]Strike
 }
 
-// New returns an empty Guard that drops old strikes as time passes.
-func New(tms router.Timers) (grd *Guard, stop func()) {
-	grd = &Guard{timers: tms}
+// New returns an empty Guard that refuses requests after a number of crashes and drops old strikes as time passes.
+func New(tms router.Timers, most int) (grd *Guard, stop func()) {
+	grd = &Guard{timers: tms, most: most}
 	for idx := range grd.shards {
 		grd.shards[idx].strikes = make(map[string][]Strike)
 	}
@@ -63,7 +65,7 @@
 	shd := grd.shard(digest)
 	shd.mut.Lock()
 	defer shd.mut.Unlock()
-	if len(shd.strikes[digest]) < strikesToQuarantine {
+	if len(shd.strikes[digest]) < grd.most {
 		delete(shd.strikes, digest)
 	}
 }
@@ -75,7 +77,7 @@
 
 // Quarantined reports whether a request must not be run again.
 func (grd *Guard) Quarantined(digest string) bool {
-	return grd.count(digest) >= strikesToQuarantine
+	return grd.count(digest) >= grd.most
 }
 
 func (grd *Guard) count(digest string) int {
--- a/internal/router/guard/guard_test.go
+++ b/internal/router/guard/guard_test.go
@@ -22,7 +22,7 @@
 		"an answer does not free":         {strikes: []guard.Strike{{Digest: "d", Upstream: "u1", At: now}, {Digest: "d", Upstream: "u2", At: now}}, clear: true, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			grd, stop := guard.New(timer.NewManual(now))
+			grd, stop := guard.New(timer.NewManual(now), guard.Strikes)
 			defer stop()
 			for _, stk := range tst.strikes {
 				grd.Add(stk)
--- /dev/null
+++ b/internal/router/meter/route.go
@@ -0,0 +1,72 @@
+package meter
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// RouteObservation is what one request on a route met.
+type RouteObservation struct {
+	Route   string
+	Outcome string
+	// Status is what the caller was told; zero when the caller left first.
+	Status int
+	// First is the time to the first event or the whole answer; zero when there was none.
+	First time.Duration
+	// Pause is the longest pause between events; zero for plain answers.
+	Pause time.Duration
+	Sends int
+	Late  bool
+}
+
+// routeBuckets are the bounds of the histograms of routes, around targets of 100 ms to 3 s.
+var routeBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	300 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second,
+	2500 * time.Millisecond, 4 * time.Second, 8 * time.Second, 15 * time.Second,
+}
+
+// Routes records requests by route; scopes are kept, so that a request costs no new ones.
+type Routes struct {
+	meter *Meter
+
+	mut    sync.Mutex
+	scopes map[string]tally.Scope
+}
+
+// NewRoutes returns a recorder on a meter.
+func NewRoutes(met *Meter) *Routes {
+	return &Routes{meter: met, scopes: make(map[string]tally.Scope)}
+}
+
+// Observe records one request.
+func (rts *Routes) Observe(obs RouteObservation) {
+	scp := rts.scope(obs.Route)
+	scp.Counter("route_requests_" + obs.Outcome + "_" + strconv.Itoa(obs.Status)).Inc(1)
+	if obs.Sends > 1 {
+		scp.Counter("route_repeats_total").Inc(int64(obs.Sends - 1))
+	}
+	if obs.Late {
+		scp.Counter("route_late_total").Inc(1)
+	}
+	if obs.First > 0 {
+		scp.Histogram("route_first_seconds", routeBuckets).RecordDuration(obs.First)
+	}
+	if obs.Pause > 0 {
+		scp.Histogram("route_pause_seconds", routeBuckets).RecordDuration(obs.Pause)
+	}
+}
+
+func (rts *Routes) scope(route string) tally.Scope {
+	rts.mut.Lock()
+	defer rts.mut.Unlock()
+	scp := rts.scopes[route]
+	if scp == nil {
+		scp = rts.meter.scope.Tagged(map[string]string{"route": route})
+		rts.scopes[route] = scp
+	}
+	return scp
+}
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -122,7 +122,7 @@
 		Remote: nod.remote,
 		Seed:   uint64(uuid.New().ID()),
 	})
-	grd, stop := guard.New(nod.options.Timers)
+	grd, stop := guard.New(nod.options.Timers, guard.Strikes)
 	nod.guard = grd
 	nod.relay = relay.New(nod.live.Get().Policy.ConnectTimeout)
 	nod.ledger = order.NewLedger(order.Options{
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/link"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
@@ -61,7 +62,10 @@
 	Board   *place.Board
 	Links   *link.Book
 	Budget  *budget.Book
+	Guard   *guard.Guard
 	Log     *slog.Logger
+	// Strike tells that an upstream crashed while it ran a request.
+	Strike func(stk guard.Strike)
 	// RetryShare is the number of repeated sendings allowed per call, from 0 to 1.
 	RetryShare float64
 }
@@ -79,7 +83,7 @@
 // Serve carries a job to an upstream and writes the answer; it panics with http.ErrAbortHandler to break off an answer that has begun.
 func (snd *Sender) Serve(ctx context.Context, job Job, wri http.ResponseWriter) (rep Report) {
 	snd.options.Budget.Of(job.Service).Earn(snd.options.RetryShare)
-	cou := &course{sender: snd, job: job, writer: wri, tried: make(map[string]bool)}
+	cou := &course{sender: snd, job: job, writer: wri, tried: make(map[string]bool), digest: digest(job.Call)}
 	ctx, cancel := context.WithDeadline(ctx, cou.deadline())
 	defer cancel()
 	return cou.run(ctx)
@@ -107,6 +111,8 @@
 	job    Job
 	writer http.ResponseWriter
 
+	// digest identifies requests that are the same for an upstream.
+	digest string
 	// tried holds the incarnations that are not chosen again.
 	tried map[string]bool
 	// sends counts sendings that may have reached an upstream; missed counts failures to connect.
@@ -144,9 +150,13 @@
 
 func (cou *course) run(ctx context.Context) Report {
 	for {
+		if cou.sender.options.Guard.Quarantined(cou.digest) && !cou.begun {
+			return cou.quarantine()
+		}
 		sta := cou.attempt(ctx)
 		switch {
 		case sta == answered:
+			cou.sender.options.Guard.Clear(cou.digest)
 			return cou.report(router.Ran)
 		case ctx.Err() != nil:
 			return cou.expire(ctx)
@@ -292,6 +302,9 @@
 // lost records a sending whose outcome is unknown.
 func (cou *course) lost(ctx context.Context, what string, ins router.Instance, err error) (state, place.Result) {
 	cou.note(what, ins, err)
+	if broke(err) && ctx.Err() == nil {
+		go cou.sender.confirmCrash(cou.job.Call.ID, cou.digest, ins)
+	}
 	sta := unknown
 	if cou.begun {
 		sta = broken
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/link"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
@@ -56,6 +57,8 @@
 		})
 	}
 	ros.Apply(upd)
+	grd, stop := guard.New(timer.Real{}, send.CrashStrikes)
+	defer stop()
 	snd := send.New(send.Options{
 		Timers:  timer.Real{},
 		Dialect: stand.Dialect{},
@@ -64,6 +67,8 @@
 		Links:   link.NewBook(),
 		Budget:  budget.NewBook(budget.Reserve),
 		Log:     log,
+		Guard:   grd,
+		Strike:  func(stk guard.Strike) { grd.Add(stk) },
 	})
 	rou.Attempts = max(rou.Attempts, 1)
 	rec = httptest.NewRecorder()
