Let two nodes of a failure domain follow the store for all, and tell far peers less

Change: two nodes of each failure domain follow the store and the others fetch their copies; peers in other domains get every second digest, those in other regions every fourth; a step down the ranking costs 0.12 of a late answer.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -96,19 +96,20 @@
 			links.Retire(place.Key(ins))
 		},
 	})
-	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest})
-	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply})
+	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, Relayed: nod.relayed})
+	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply, Relayed: nod.relayed})
 	grd, stop := guard.New(opt.Timers, send.CrashStrikes)
 	nod.closers = append(nod.closers, stop)
 	lov := &loadView{board: board, guard: grd, timers: opt.Timers}
 	nod.mesh = mesh.New(mesh.Options{
-		Self:   router.Member{Name: set.Name, Address: set.Platform.Mesh, FailureDomain: set.FailureDomain},
-		Timers: opt.Timers,
-		Log:    opt.Log,
-		Source: opt.Source,
-		Codec:  opt.Codec,
-		Load:   lov,
-		Copies: map[router.RecordKind]*follow.Follower{router.Manifests: nod.manifests, router.Instances: nod.instances},
+		Self:    router.Member{Name: set.Name, Address: set.Platform.Mesh, FailureDomain: set.FailureDomain},
+		Timers:  opt.Timers,
+		Log:     opt.Log,
+		Source:  opt.Source,
+		Codec:   opt.Codec,
+		Load:    lov,
+		Copies:  map[router.RecordKind]*follow.Follower{router.Manifests: nod.manifests, router.Instances: nod.instances},
+		Regions: regions,
 	})
 	nod.budget = budget.NewBook(budgetSafety * set.Platform.RetryReserve / lonelyShare)
 	met := meter.New(set.Name, opt.Log)
@@ -137,6 +138,11 @@
 	return nod
 }
 
+// relayed reports whether peers bring the platform's records.
+func (nod *Node) relayed() bool {
+	return nod.mesh.Relayed()
+}
+
 // applyManifest puts a new manifest in force; older versions never replace newer ones.
 func (nod *Node) applyManifest(upd follow.Update) {
 	for _, rec := range upd.Changed {
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -20,6 +20,8 @@
 	// retryLeast and retryMost bound the pause before a failed call is repeated.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = time.Second
+	// relayedPause is how often a Follower whose changes come from peers looks whether they still do.
+	relayedPause = 250 * time.Millisecond
 )
 
 // Update is a change of the copy.
@@ -37,6 +39,8 @@
 	Log    *slog.Logger
 	// Apply is called with every change, one call at a time.
 	Apply func(upd Update)
+	// Relayed reports that peers bring the changes, so that the store need not be asked; nil means never.
+	Relayed func() bool
 }
 
 // Follower is a copy of one kind of record.
@@ -61,6 +65,10 @@
 func (fol *Follower) Run(ctx context.Context) {
 	retry := retryLeast
 	for ctx.Err() == nil {
+		if fol.relayed() {
+			pause(ctx, relayedPause)
+			continue
+		}
 		chs, err := fol.next(ctx)
 		if ctx.Err() != nil {
 			return
@@ -87,6 +95,11 @@
 	fol.accept(chs, false)
 }
 
+// Relays reports whether the copy comes from peers now.
+func (fol *Follower) Relays() bool {
+	return fol.relayed()
+}
+
 // Version returns the store's version of the copy; zero means that nothing was read yet.
 func (fol *Follower) Version() int64 {
 	fol.mut.Lock()
@@ -115,6 +128,11 @@
 	return chs
 }
 
+// relayed reports whether peers bring the changes; the first copy is always read from the store or offered before.
+func (fol *Follower) relayed() bool {
+	return fol.options.Relayed != nil && fol.Version() > 0 && fol.options.Relayed()
+}
+
 func (fol *Follower) next(ctx context.Context) (chs router.Changes, err error) {
 	fol.mut.Lock()
 	read, after, failing := fol.read, fol.version, !fol.failing.IsZero()
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -78,7 +78,7 @@
 	if cop.behind.IsZero() {
 		cop.behind = now
 	}
-	silent := cop.follower.Failing() > 0 || now.Sub(cop.behind) > lagAllowed
+	silent := cop.follower.Relays() || cop.follower.Failing() > 0 || now.Sub(cop.behind) > lagAllowed
 	if !silent || cop.busy || now.Sub(cop.last) < copyPause {
 		return false
 	}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -26,6 +27,11 @@
 	heardWithin = 2 * time.Second
 	// silentEvery is how often a peer that is not heard is tried, in digests.
 	silentEvery = 10
+	// readersPerDomain is how many nodes of a failure domain follow the store; the others get its changes from them.
+	readersPerDomain = 2
+	// domainEvery and regionEvery are how many digests go to the own failure domain for each one to another domain and to another region.
+	domainEvery = 2
+	regionEvery = 4
 	// datagramBytes bounds a digest.
 	datagramBytes = 60 << 10
 	// membersEvery is how often the list of nodes is read again, with as much jitter; newcomers announce themselves.
@@ -54,6 +60,8 @@
 	Load   Load
 	// Copies are the copies of the platform's records that peers may have newer.
 	Copies map[router.RecordKind]*follow.Follower
+	// Regions maps failure domains to their regions.
+	Regions map[string]string
 }
 
 // Mesh is this node's view of its peers.
@@ -66,6 +74,8 @@
 	peers    map[string]*peer
 	sequence uint64
 	stopping bool
+	// told holds the placements of the last digests, which those who get fewer digests are told together.
+	told [][]*wire.Placement
 }
 
 // peer is another node.
@@ -76,7 +86,9 @@
 	sequence    uint64
 	heard       time.Time
 	live        bool
-	versions    map[string]int64
+	// reads is set while the peer follows the store itself.
+	reads    bool
+	versions map[string]int64
 }
 
 // New returns a Mesh that knows no peers.
@@ -147,24 +159,64 @@
 		Address:       self.Address,
 		Versions:      make(map[string]int64, len(msh.options.Copies)),
 	}
+	dig.Reads = true
 	for knd, fol := range msh.options.Copies {
 		dig.Versions[string(knd)] = fol.Version()
+		dig.Reads = dig.Reads && fol.Failing() == 0 && !fol.Relays()
 	}
 	msh.options.Load.Describe(dig)
-	adrs := msh.targets(dig)
-	txt, err := proto.Marshal(dig)
-	if err != nil || len(txt) > datagramBytes {
-		msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
-		return
+	for evr, adrs := range msh.targets(dig) {
+		dig.Placements = msh.placements(evr)
+		txt, err := proto.Marshal(dig)
+		if err != nil || len(txt) > datagramBytes {
+			msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
+			return
+		}
+		for _, adr := range adrs {
+			// A lost datagram is replaced by the next one.
+			_, _ = soc.WriteToUDP(txt, adr)
+		}
+	}
+}
+
+// placements returns what was placed in a number of digests.
+func (msh *Mesh) placements(digests int) (pls []*wire.Placement) {
+	for _, one := range msh.told[max(0, len(msh.told)-digests):] {
+		pls = append(pls, one...)
 	}
-	for _, adr := range adrs {
-		// A lost datagram is replaced by the next one.
-		_, _ = soc.WriteToUDP(txt, adr)
+	return pls
+}
+
+// every returns for how many digests a peer in a failure domain gets one.
+func (msh *Mesh) every(domain string) int {
+	own := msh.options.Self.FailureDomain
+	switch {
+	case domain == own:
+		return 1
+	case msh.options.Regions[domain] == msh.options.Regions[own]:
+		return domainEvery
+	default:
+		return regionEvery
+	}
+}
+
+// Relayed reports whether other nodes of the failure domain follow the store for this one.
+func (msh *Mesh) Relayed() bool {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	own, before := msh.options.Self, 0
+	rank := xxhash.Sum64String(own.Name)
+	for _, per := range msh.peers {
+		if per.live && per.reads && per.member.FailureDomain == own.FailureDomain && xxhash.Sum64String(per.member.Name) < rank {
+			before++
+		}
 	}
+	return before >= readersPerDomain
 }
 
-// targets numbers a digest and returns whom to send it to; peers that went silent are told.
-func (msh *Mesh) targets(dig *wire.Digest) (adrs []*net.UDPAddr) {
+// targets numbers a digest and returns whom to send it to, by how many digests they get one for; peers that went silent are noted.
+func (msh *Mesh) targets(dig *wire.Digest) (adrs map[int][]*net.UDPAddr) {
+	adrs = make(map[int][]*net.UDPAddr)
 	now := msh.options.Timers.Now()
 	var lost []string
 	msh.mut.Lock()
@@ -176,10 +228,13 @@
 			per.live = false
 			lost = append(lost, nam)
 		}
-		if per.live || msh.sequence%silentEvery == 0 {
-			adrs = append(adrs, per.address)
+		evr := msh.every(per.member.FailureDomain)
+		if per.live && msh.sequence%uint64(evr) == 0 || !per.live && msh.sequence%silentEvery == 0 {
+			adrs[evr] = append(adrs[evr], per.address)
 		}
 	}
+	msh.told = append(msh.told, dig.Placements)
+	msh.told = msh.told[max(0, len(msh.told)-regionEvery):]
 	msh.mut.Unlock()
 	for _, nam := range lost {
 		msh.options.Load.Lose(nam)
@@ -234,6 +289,7 @@
 	per.member = router.Member{Name: dig.GetNode(), Address: dig.GetAddress(), FailureDomain: dig.GetFailureDomain()}
 	per.address, per.incarnation, per.sequence = adr, dig.GetIncarnation(), dig.GetSequence()
 	per.heard, per.live, per.versions = msh.options.Timers.Now(), true, dig.GetVersions()
+	per.reads = dig.GetReads() && !dig.GetStopping()
 	msh.mut.Unlock()
 	if fresh {
 		msh.options.Log.Info("node heard", "Peer", dig.GetNode(), "Address", dig.GetAddress(), "Incarnation", dig.GetIncarnation())
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -21,7 +21,9 @@
 	// rereadWindow is how long after its last use elsewhere reading a prefix again counts as waste.
 	rereadWindow = 10 * time.Second
 	// rankCost is what a step down a prefix's ranking of engines costs, in late answers; it lets nodes agree on where a prefix is read first.
-	rankCost = 0.04
+	rankCost = 0.12
+	// rankMost is the rank from which further steps down cost nothing more.
+	rankMost = 8
 	// runningCost is what a call in flight costs a new one, in late answers.
 	runningCost = 0.01
 	// domainCost and regionCost are what distance costs, in late answers.
@@ -130,7 +132,7 @@
 		}
 		vew := lod.view(now)
 		cost := vew.late(wnt, wnt.Prompt-kept)
-		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(min(rank, 8))
+		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(min(rank, rankMost))
 		cost += runningCost*float64(vew.Running) + failureCost*vew.failures
 		cost += brd.distance(can.Instance, domainCost, regionCost)
 		cost += pauseCost*wnt.fragility()*vew.reading + vew.harm(wnt.Prompt-kept)
