Keep the product's rows and objects in the platform's store

Cause: the clients of DynamoDB and S3 and their stand-ins served a table service and an object store that the users' platform does not have. Change: platform/table.go and objects.go implement router.Table and router.Objects on the metadata store; platform/mock is its stand-in. Tests: conditions, one winner of twenty writers, a lost answer, pages.

--- a/cmd/hbstand/main.go
+++ b/cmd/hbstand/main.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/vmlist"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
+	"github.com/hornbeamdyke/hornbeamdyke/platform/mock"
 )
 
 // common are the options of every stand-in.
@@ -38,9 +39,7 @@
 	Journal string        `long:"journal" description:"file that lists executions"`
 }
 
-type tableCommand struct{ common }
-
-type objectCommand struct{ common }
+type storeCommand struct{ common }
 
 type vmsCommand struct {
 	common
@@ -56,8 +55,7 @@
 	}{
 		{"engine", "a model engine", &engineCommand{}},
 		{"service", "a plain service", &serviceCommand{}},
-		{"table", "the table service", &tableCommand{}},
-		{"object", "the object store", &objectCommand{}},
+		{"store", "the platform's metadata store", &storeCommand{}},
 		{"vms", "the VM list", &vmsCommand{}},
 	} {
 		if _, err := psr.AddCommand(cmd.name, cmd.about, "Runs "+cmd.about+" until it is killed.", cmd.data); err != nil {
@@ -104,16 +102,10 @@
 	return cmd.serve(swt, stand.NewService(cmd.Name, cmd.Work, swt, jnl).Handler())
 }
 
-// Execute runs the table service.
-func (cmd *tableCommand) Execute([]string) (err error) {
-	swt := stand.NewSwitch(cmd.Seed)
-	return cmd.serve(swt, stand.NewTable(swt).Handler())
-}
-
-// Execute runs the object store.
-func (cmd *objectCommand) Execute([]string) (err error) {
+// Execute runs the metadata store.
+func (cmd *storeCommand) Execute([]string) (err error) {
 	swt := stand.NewSwitch(cmd.Seed)
-	return cmd.serve(swt, stand.NewObject(swt).Handler())
+	return cmd.serve(swt, mock.NewStore(swt).Handler())
 }
 
 // Execute runs the VM list.
--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"log/slog"
 	"os"
 
@@ -13,12 +14,6 @@
 	plat "github.com/hornbeamdyke/hornbeamdyke/platform"
 )
 
-// The environment variables with the credentials for the platform's stores.
-const (
-	envStoreKey    = "HORNBEAMDYKE_STORE_KEY"
-	envStoreSecret = "HORNBEAMDYKE_STORE_SECRET"
-)
-
 // envUnprotected is the environment variable by which failure runs remove the claim of orders.
 const envUnprotected = "HORNBEAMDYKE_TEST_UNPROTECTED"
 
@@ -45,7 +40,7 @@
 		lvl = slog.LevelDebug
 	}
 	snk := logs.NewSink(os.Stdout)
-	defer snk.Close()
+	defer func() { err = errors.Join(err, snk.Close()) }()
 	log := logs.New(snk, lvl).With("Node", set.Name)
 	if set.Platform.Store != "" {
 		return edge.New(edge.Options{
@@ -65,7 +60,6 @@
 		Timers:      timer.Real{},
 		Log:         log,
 		Unprotected: os.Getenv(envUnprotected) != "",
-		Credentials: node.Credentials{Key: os.Getenv(envStoreKey), Secret: os.Getenv(envStoreSecret)},
 	})
 	if err != nil {
 		return err
--- a/internal/chaos/config.go
+++ b/internal/chaos/config.go
@@ -84,7 +84,7 @@
 		if num%2 == 1 {
 			flt.LoseShare = lossyShare
 		}
-		if err := fleet.Control(pub.fleet.Table, flt); err != nil {
+		if err := fleet.Control(pub.fleet.Store, flt); err != nil {
 			return nil, err
 		}
 		dly, err := pub.once(ctx, num)
@@ -95,7 +95,7 @@
 			delays = append(delays, dly)
 		}
 	}
-	return delays, fleet.Control(pub.fleet.Table, stand.Faults{})
+	return delays, fleet.Control(pub.fleet.Store, stand.Faults{})
 }
 
 // once runs one race and returns how long the winner's change took from accepted to in force everywhere.
@@ -141,7 +141,7 @@
 
 // refresh reads the head after a race in which both operators were left uncertain.
 func (pub *publisher) refresh(ctx context.Context) error {
-	if err := fleet.Control(pub.fleet.Table, stand.Faults{}); err != nil {
+	if err := fleet.Control(pub.fleet.Store, stand.Faults{}); err != nil {
 		return err
 	}
 	var rvs []admin.Revision
--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -34,8 +34,8 @@
 	return []Strike{
 		{"KillNode", killNode},
 		{"StopNode", stopNode},
-		{"TableDown", func(flt *fleet.Fleet, _ int) error { return down(flt.Table) }},
-		{"TableLosesAnswers", func(flt *fleet.Fleet, _ int) error { return losing(flt.Table) }},
+		{"TableDown", func(flt *fleet.Fleet, _ int) error { return down(flt.Store) }},
+		{"TableLosesAnswers", func(flt *fleet.Fleet, _ int) error { return losing(flt.Store) }},
 		{"ServiceLosesAnswers", func(flt *fleet.Fleet, pick int) error { return losing(service(flt, pick)) }},
 		{"ServiceSilent", func(flt *fleet.Fleet, pick int) error { return silent(service(flt, pick)) }},
 		{"KillService", func(flt *fleet.Fleet, pick int) error { return restart(service(flt, pick)) }},
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -37,14 +37,15 @@
 	if nod.Peer != "" && (nod.TLS.Certificate == "" || nod.TLS.Key == "" || nod.TLS.Authority == "") {
 		chk.fail("TLS", "needs Certificate, Key and Authority when Peer is set")
 	}
-	oneOf(chk, "Table.Kind", nod.Table.Kind, Memory, DynamoDB)
-	oneOf(chk, "Objects.Kind", nod.Objects.Kind, Memory, S3)
-	if nod.Table.Kind == DynamoDB {
-		chk.url("Table.Endpoint", nod.Table.Endpoint)
+	oneOf(chk, "Table.Kind", nod.Table.Kind, Memory, InPlatform)
+	oneOf(chk, "Objects.Kind", nod.Objects.Kind, Memory, InPlatform)
+	if nod.Table.Kind == InPlatform {
+		chk.address("Table.Endpoint", nod.Table.Endpoint)
 	}
-	if nod.Objects.Kind == S3 {
-		chk.url("Objects.Endpoint", nod.Objects.Endpoint)
+	if nod.Objects.Kind == InPlatform {
+		chk.address("Objects.Endpoint", nod.Objects.Endpoint)
 	}
+	chk.platform(nod.Platform)
 	if nod.VMList.URL != "" {
 		chk.url("VMList.URL", nod.VMList.URL)
 	}
@@ -107,6 +108,35 @@
 	}
 }
 
+// platform judges the platform's settings, if there is one.
+func (chk *checker) platform(plt Platform) {
+	if plt.Store == "" {
+		return
+	}
+	chk.address("Platform.Store", plt.Store)
+	chk.address("Platform.Mesh", plt.Mesh)
+	if plt.Metrics != "" {
+		chk.address("Platform.Metrics", plt.Metrics)
+	}
+	for _, dom := range plt.FailureDomains {
+		pth := element("Platform.FailureDomains", dom.Name)
+		chk.name(join(pth, "Name"), dom.Name)
+		chk.name(join(pth, "Region"), dom.Region)
+	}
+	chk.positive("Platform.Grace", plt.Grace)
+	chk.positive("Platform.RetryWindow", plt.RetryWindow)
+	chk.share("Platform.RetryShare", plt.RetryShare)
+	if plt.RetryReserve < 0 {
+		chk.fail("Platform.RetryReserve", "%g must not be below 0", plt.RetryReserve)
+	}
+}
+
+func (chk *checker) address(path, val string) {
+	if _, _, err := net.SplitHostPort(val); err != nil {
+		chk.fail(path, "%q is not an address of the form IP:port", val)
+	}
+}
+
 func (chk *checker) url(path, val string) {
 	adr, err := url.Parse(val)
 	if err != nil || adr.Host == "" || adr.Scheme != "http" && adr.Scheme != "https" {
@@ -308,7 +338,7 @@
 			continue
 		}
 		if _, _, err := net.SplitHostPort(lis.address); err != nil {
-			chk.fail(lis.field, "%q is not an address of the form IP:port", lis.address)
+			chk.address(lis.field, lis.address)
 			continue
 		}
 		chk.unique(lis.field, "address", lis.address, seen, lis.field)
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -158,10 +158,8 @@
 // Table is where the platform's table service is.
 type Table struct {
 	Kind StoreKind
-	// Endpoint is the base URL.
+	// Endpoint is the store's address.
 	Endpoint string
-	Region   string
-	Name     string
 	// Timeout limits one call.
 	Timeout time.Duration
 }
@@ -171,17 +169,16 @@
 
 // The values of StoreKind.
 const (
-	Memory   StoreKind = "Memory"
-	DynamoDB StoreKind = "DynamoDB"
-	S3       StoreKind = "S3"
+	Memory StoreKind = "Memory"
+	// InPlatform keeps values in the platform's metadata store.
+	InPlatform StoreKind = "Platform"
 )
 
 // Objects is where the platform's object store is.
 type Objects struct {
-	Kind     StoreKind
+	Kind StoreKind
+	// Endpoint is the store's address.
 	Endpoint string
-	Region   string
-	Bucket   string
 	Timeout  time.Duration
 }
 
@@ -224,8 +221,8 @@
 // DefaultNode returns the values used where a node's settings are silent.
 func DefaultNode() Node {
 	return Node{
-		Table:   Table{Kind: Memory, Region: "local", Name: "hornbeamdyke", Timeout: 2 * time.Second},
-		Objects: Objects{Kind: Memory, Region: "local", Bucket: "hornbeamdyke", Timeout: 5 * time.Second},
+		Table:   Table{Kind: Memory, Timeout: 2 * time.Second},
+		Objects: Objects{Kind: Memory, Timeout: 5 * time.Second},
 		VMList:  VMList{Interval: time.Second},
 		Platform: Platform{
 			Grace:       8 * time.Second,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,9 +53,9 @@
 	Nodes   []*Process
 	// Upstreams are the engines and services by name.
 	Upstreams map[string]*Process
-	Table     *Process
-	Objects   *Process
-	VMs       *Process
+	// Store is the platform's metadata store.
+	Store *Process
+	VMs   *Process
 	// Settings are those of the nodes, in the order of Nodes.
 	Settings []conf.Node
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -37,8 +37,7 @@
 	if err := os.WriteFile(vms, raw, 0o600); err != nil {
 		return err
 	}
-	flt.Table = flt.stand("table", set.Table.Endpoint, "table")
-	flt.Objects = flt.stand("object", set.Objects.Endpoint, "object")
+	flt.Store = flt.stand("store", "http://"+set.Table.Endpoint, "store")
 	lst, err := url.Parse(set.VMList.URL)
 	if err != nil {
 		return err
@@ -107,7 +106,7 @@
 		binary: filepath.Join(flt.Options.Binaries, "hornbeamdyke"),
 		args:   ars,
 		dir:    flt.Options.Work,
-		env:    append([]string{"HORNBEAMDYKE_STORE_KEY=demo", "HORNBEAMDYKE_STORE_SECRET=demo"}, flt.Options.Env...),
+		env:    flt.Options.Env,
 	}
 }
 
@@ -115,7 +114,7 @@
 	for _, prc := range flt.Upstreams {
 		prs = append(prs, prc)
 	}
-	for _, prc := range []*Process{flt.Table, flt.Objects, flt.VMs} {
+	for _, prc := range []*Process{flt.Store, flt.VMs} {
 		if prc != nil {
 			prs = append(prs, prc)
 		}
--- a/internal/router/bucket/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package bucket implements router.Objects by the S3 API.
-package bucket
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -6,16 +6,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/google/uuid"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/admin"
-	"github.com/hornbeamdyke/hornbeamdyke/internal/router/bucket"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/burn"
-	"github.com/hornbeamdyke/hornbeamdyke/internal/router/dynamo"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/entry"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/limit"
@@ -28,6 +25,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/sched"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/slots"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+	plat "github.com/hornbeamdyke/hornbeamdyke/platform"
 )
 
 // Options are what a Node is built from.
@@ -41,14 +39,6 @@
 	Log      *slog.Logger
 	// Unprotected removes the claim of orders; failure runs use it to show what the claim prevents.
 	Unprotected bool
-	// Credentials are the key and the secret for the platform's stores.
-	Credentials Credentials
-}
-
-// Credentials are a key and a secret for the platform's stores.
-type Credentials struct {
-	Key    string
-	Secret string
 }
 
 // Node is one process's parts.
@@ -289,7 +279,7 @@
 	if set.Kind == conf.Memory {
 		return memtab.NewTable()
 	}
-	return dynamo.New(set, nod.credentials())
+	return plat.NewTable(plat.NewStore(set.Endpoint), set.Timeout)
 }
 
 func (nod *Node) objects() router.Objects {
@@ -297,10 +287,5 @@
 	if set.Kind == conf.Memory {
 		return memtab.NewObjects()
 	}
-	return bucket.New(set, nod.credentials())
-}
-
-func (nod *Node) credentials() credentials.StaticCredentialsProvider {
-	crd := nod.options.Credentials
-	return credentials.NewStaticCredentialsProvider(crd.Key, crd.Secret, "")
+	return plat.NewObjects(plat.NewStore(set.Endpoint), set.Timeout)
 }
--- a/internal/router/roster/roster_test.go
+++ b/internal/router/roster/roster_test.go
@@ -90,7 +90,7 @@
 				ros.Apply(upd)
 			}
 			tms.Advance(cas.advance)
-			var takers []string
+			takers := make([]string, 0, 2)
 			for _, ins := range ros.Takers(service) {
 				takers = append(takers, ins.ID)
 			}
--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -107,11 +107,11 @@
 		switch {
 		case err == nil && len(buf) < eventBytes:
 			continue
-		case err == io.EOF && len(buf) == 0 && cou.events > 0:
+		case errors.Is(err, io.EOF) && len(buf) == 0 && cou.events > 0:
 			con.Finish(rsp)
 			cou.status = rsp.StatusCode
 			return answered, place.Served
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
 		case err == nil:
 			err = errors.Errorf("event above %d bytes", eventBytes)
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -113,20 +113,24 @@
 		"stream cut":                         {router.Route{Stream: true}, []string{events + oneTwo + stand.Cut}, 200, "id: 1\na\n\nid: 2\nb\n\n", true, 1},
 		"stream cut in an event and resumed": {
 			router.Route{Stream: true, Repeat: router.Resumed, Attempts: 2},
-			[]string{events + oneTwo + half + stand.Cut, events + three + last}, 200, "id: 1\na\n\nid: 2\nb\n\nid: 3\nc\n\n", false, 2,
+			[]string{events + oneTwo + half + stand.Cut, events + three + last},
+			200, "id: 1\na\n\nid: 2\nb\n\nid: 3\nc\n\n", false, 2,
 		},
 		"stream resumed at a full upstream": {
 			router.Route{Stream: true, Repeat: router.Resumed, Attempts: 2},
-			[]string{events + oneTwo + stand.Cut, full}, 200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
+			[]string{events + oneTwo + stand.Cut, full},
+			200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
 		},
 		"stream resumed at a failing upstream": {
 			router.Route{Stream: true, Repeat: router.Resumed, Attempts: 2},
-			[]string{events + oneTwo + stand.Cut, failed}, 200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
+			[]string{events + oneTwo + stand.Cut, failed},
+			200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
 		},
 		"stream that ends in an event": {router.Route{Stream: true}, []string{events + oneTwo + half + last}, 200, "id: 1\na\n\nid: 2\nb\n\n", true, 1},
 		"stream cut before its first event": {
 			router.Route{Stream: true, Repeat: router.Resumed, Attempts: 2},
-			[]string{events + stand.Cut, events + three + last}, 200, "id: 3\nc\n\n", false, 2,
+			[]string{events + stand.Cut, events + three + last},
+			200, "id: 3\nc\n\n", false, 2,
 		},
 	}
 	for name, cas := range cases {
--- a/internal/stand/script.go
+++ b/internal/stand/script.go
@@ -96,7 +96,7 @@
 }
 
 func (scr *Script) serve(soc net.Conn) {
-	defer soc.Close()
+	defer func() { _ = soc.Close() }()
 	red := bufio.NewReader(soc)
 	for {
 		req, err := http.ReadRequest(red)
--- a/internal/stand/vms.go
+++ b/internal/stand/vms.go
@@ -40,6 +40,12 @@
 	return vms.faults.Wrap(mux)
 }
 
+func reply(wri http.ResponseWriter, val any) {
+	if err := json.NewEncoder(wri).Encode(val); err != nil {
+		return
+	}
+}
+
 func (vms *VMs) set(gps []vmlist.Group) {
 	vms.mut.Lock()
 	defer vms.mut.Unlock()
