--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -14,8 +14,9 @@
 const (
 	// shortPrompt is the length from which a prompt delays the tokens of others noticeably, in tokens.
 	shortPrompt = 4000
-	// shortShare is the share of the engines that short prompts keep to themselves.
-	shortShare = 0.25
+	// briefShare and fragileShare are the shares of the engines that these kinds of calls keep to themselves.
+	briefShare   = 0.25
+	fragileShare = 0.25
 	// rereadTokens is the number of shared tokens whose reading again costs as much as a late answer.
 	rereadTokens = 20000
 	// rereadWindow is how long after its last use elsewhere reading a prefix again counts as waste.
@@ -45,9 +46,11 @@
 	// harmCost is the share of the running calls that reading a prompt for harmReading or longer makes late.
 	harmCost    = 0.2
 	harmReading = 100 * time.Millisecond
-	// longForeign is what an engine for short prompts costs a long one, and shortForeign the reverse, in late answers.
+	// briefForeign is what an engine for short prompts costs a long one, and the reverse, in late answers; longForeign is the same between the kinds of long ones.
+	briefForeign = 0.3
 	longForeign  = 0.3
-	shortForeign = 0.3
+	// sturdyPauses is how many usual pauses while an engine reads a call must accept to be sturdy; busy neighbours stretch pauses two to three times.
+	sturdyPauses = 4
 	// domainCalls and regionCalls are the calls in flight that distance stands for at a plain service.
 	domainCalls = 1
 	regionCalls = 8
@@ -117,10 +120,6 @@
 			}
 		}
 	}
-	foreign := longForeign
-	if wnt.Prompt < shortPrompt {
-		foreign = shortForeign
-	}
 	least := math.Inf(1)
 	for rank, can := range brd.order(wnt, home, cans) {
 		lod := brd.load(can.Instance)
@@ -136,9 +135,7 @@
 		cost += runningCost*float64(vew.Running) + failureCost*vew.failures
 		cost += brd.distance(can.Instance, domainCost, regionCost)
 		cost += pauseCost*wnt.fragility()*vew.reading + vew.harm(wnt.Prompt-kept)
-		if can.foreign {
-			cost += foreign
-		}
+		cost += can.foreign
 		if cost < least {
 			best, read, least = can.Instance, wnt.Prompt-kept, cost
 		}
@@ -182,40 +179,70 @@
 	}
 }
 
-// group returns the engines for short or for long prompts; all nodes that know the same engines agree.
-func group(cans []router.Instance, short bool) []router.Instance {
-	if len(cans) < 2 {
-		return cans
+// kind is what a call does to an engine and what it suffers there.
+type kind int
+
+// The values of kind, in the order in which engines are divided among them.
+const (
+	// brief calls have short prompts.
+	brief kind = iota
+	// fragile calls have long prompts and miss their pauses while their engine reads other ones.
+	fragile
+	// sturdy calls have long prompts and accept long pauses.
+	sturdy
+)
+
+// kind returns the kind of a call.
+func (wnt Want) kind() kind {
+	switch {
+	case wnt.Prompt < shortPrompt:
+		return brief
+	case wnt.Gap > 0 && wnt.Gap < sturdyPauses*readingPause:
+		return fragile
+	default:
+		return sturdy
+	}
+}
+
+// foreign returns what an engine that another kind keeps to itself costs a call, in late answers.
+func foreign(own, oth kind) float64 {
+	switch {
+	case own == oth:
+		return 0
+	case own == brief || oth == brief:
+		return briefForeign
+	default:
+		return longForeign
 	}
+}
+
+// divide returns the engines of each kind; all nodes that know the same engines agree.
+func divide(cans []router.Instance) (kinds [sturdy + 1][]router.Instance) {
 	ord := slices.Clone(cans)
 	slices.SortFunc(ord, func(one, two router.Instance) int {
 		return cmp.Compare(xxhash.Sum64String(one.ID), xxhash.Sum64String(two.ID))
 	})
-	num := max(1, int(math.Round(shortShare*float64(len(ord)))))
-	if short {
-		return ord[:num]
-	}
-	return ord[num:]
+	fst := max(1, int(math.Round(briefShare*float64(len(ord)))))
+	snd := max(fst, int(math.Round((briefShare+fragileShare)*float64(len(ord)))))
+	kinds[brief], kinds[fragile], kinds[sturdy] = ord[:fst], ord[fst:snd], ord[snd:]
+	return kinds
 }
 
 // candidate is an engine in the order in which a call considers it.
 type candidate struct {
 	router.Instance
-	// foreign is set for engines that calls of another length keep to themselves.
-	foreign bool
+	// foreign is what the engine costs the call for being another kind's, in late answers.
+	foreign float64
 }
 
-// order returns the engines for a call of its length by their rank for its prefix, and then the others.
+// order returns the engines for a call, those of its kind first, by their rank for its prefix.
 func (brd *Board) order(wnt Want, home uint64, cans []router.Instance) (res []candidate) {
-	short := wnt.Prompt < shortPrompt
-	for _, can := range ranked(home, group(cans, short)) {
-		res = append(res, candidate{Instance: can})
-	}
-	if len(cans) < 2 {
-		return res
-	}
-	for _, can := range ranked(home, group(cans, !short)) {
-		res = append(res, candidate{Instance: can, foreign: true})
+	own, kinds := wnt.kind(), divide(cans)
+	for step := range len(kinds) {
+		knd := kind((int(own) + step) % len(kinds))
+		for _, can := range ranked(home, kinds[knd]) {
+			res = append(res, candidate{Instance: can, foreign: foreign(own, knd)})
+		}
 	}
 	return res
 }
