--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -1,10 +1,13 @@
 package mesh
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,8 +23,9 @@
 const (
 	// copyPath is where a node serves its copies to peers.
 	copyPath = "/v1/copies/"
-	// copyTimeout limits fetching a peer's copy.
-	copyTimeout = time.Second
+	// copyDial limits connecting to a peer, and copyTimeout fetching its copy over a narrow link.
+	copyDial    = time.Second
+	copyTimeout = 4 * time.Second
 	// copyBytes bounds a peer's copy.
 	copyBytes = 16 << 20
 	// copyPause is the least time between two fetches of one kind.
@@ -40,10 +44,15 @@
 	behind time.Time
 	busy   bool
 	last   time.Time
+
+	packing sync.Mutex
+	// pack is the compressed copy as of packVersion; nil before anyone asked.
+	pack        []byte
+	packVersion int64
 }
 
 var client = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: copyTimeout}).DialContext,
+	DialContext:         (&net.Dialer{Timeout: copyDial}).DialContext,
 	MaxIdleConnsPerHost: 1,
 	IdleConnTimeout:     5 * time.Second,
 }}
@@ -128,19 +137,51 @@
 func (msh *Mesh) Handler() http.Handler {
 	mux := http.NewServeMux()
 	for _, cop := range msh.copiers {
-		mux.HandleFunc("GET "+copyPath+string(cop.kind), func(wri http.ResponseWriter, _ *http.Request) {
-			chs := cop.follower.Copy()
-			msg := &wire.Copy{Version: chs.Version}
-			for _, rec := range chs.Records {
-				msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version})
-			}
-			txt, err := proto.Marshal(msg)
+		mux.HandleFunc("GET "+copyPath+string(cop.kind), func(wri http.ResponseWriter, req *http.Request) {
+			txt, err := cop.packed()
 			if err != nil {
 				http.Error(wri, err.Error(), http.StatusInternalServerError)
 				return
 			}
+			if !strings.Contains(req.Header.Get("Accept-Encoding"), "gzip") {
+				http.Error(wri, "gzip must be accepted", http.StatusNotAcceptable)
+				return
+			}
+			wri.Header().Set("Content-Encoding", "gzip")
 			_, _ = wri.Write(txt)
 		})
 	}
 	return mux
 }
+
+// packed returns the copy, marshalled and compressed; many peers ask for the same version at once.
+func (cop *copier) packed() (txt []byte, err error) {
+	defer fault.Annotate(&err, "pack copy")
+	cop.packing.Lock()
+	defer cop.packing.Unlock()
+	if cop.pack != nil && cop.packVersion == cop.follower.Version() {
+		return cop.pack, nil
+	}
+	chs := cop.follower.Copy()
+	msg := &wire.Copy{Version: chs.Version}
+	for _, rec := range chs.Records {
+		msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version})
+	}
+	raw, err := proto.Marshal(msg)
+	if err != nil {
+		return nil, err
+	}
+	var buf bytes.Buffer
+	wri, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := wri.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := wri.Close(); err != nil {
+		return nil, err
+	}
+	cop.pack, cop.packVersion = buf.Bytes(), chs.Version
+	return cop.pack, nil
+}
