Count how far peers are ahead by the newest of them all

Digests also told the store's counter, which moves with every kind of record, so copies were fetched that had not changed. Change: the newest version any peer told decides; digests tell the newest change of a kind; peers of the own failure domain are asked first. TestStaleNeighboursDoNotHideNewerOnes fails before and passes after.

--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -50,6 +50,8 @@
 	mut     sync.Mutex
 	records map[string]router.Record
 	version int64
+	// newest is the version of the newest change in the copy; the store counts changes of all kinds together.
+	newest int64
 	// read is set once everything has been read.
 	read bool
 	// failing is when the store stopped answering; zero while it answers.
@@ -107,6 +109,13 @@
 	return fol.version
 }
 
+// Newest returns the version of the newest change in the copy, which peers compare.
+func (fol *Follower) Newest() int64 {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	return fol.newest
+}
+
 // Failing returns how long the store has not answered; zero means that it answers.
 func (fol *Follower) Failing() time.Duration {
 	fol.mut.Lock()
@@ -180,6 +189,9 @@
 		fol.version = max(fol.version, chs.Version)
 		fol.read = true
 	}
+	for _, rec := range upd.Changed {
+		fol.newest = max(fol.newest, rec.Version)
+	}
 	version := fol.version
 	if len(upd.Changed) > 0 || upd.Regained {
 		// Told under the lock, so that changes are applied in order.
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -40,7 +40,8 @@
 	follower *follow.Follower
 
 	mut sync.Mutex
-	// behind is since when a peer has a newer version than the own one.
+	// seen is the newest version that any peer told, and behind since when it is newer than the own one.
+	seen   int64
 	behind time.Time
 	busy   bool
 	last   time.Time
@@ -61,7 +62,8 @@
 func (msh *Mesh) catchUp(ctx context.Context, dig *wire.Digest) {
 	for _, cop := range msh.copiers {
 		newer := dig.GetVersions()[string(cop.kind)]
-		if !cop.wants(newer, msh.options.Timers.Now()) {
+		near := dig.GetFailureDomain() == msh.options.Self.FailureDomain
+		if !cop.wants(newer, near, msh.options.Timers.Now()) {
 			continue
 		}
 		go func() {
@@ -76,18 +78,23 @@
 	}
 }
 
-// wants reports whether a peer's version should be fetched now.
-func (cop *copier) wants(newer int64, now time.Time) bool {
+// wants reports whether a peer's version should be fetched now; peers in other failure domains are asked only when near ones do not have it.
+func (cop *copier) wants(newer int64, near bool, now time.Time) bool {
 	cop.mut.Lock()
 	defer cop.mut.Unlock()
-	if newer <= cop.follower.Version() {
+	own := cop.follower.Newest()
+	cop.seen = max(cop.seen, newer)
+	if own >= cop.seen {
 		cop.behind = time.Time{}
+	}
+	if newer <= own {
 		return false
 	}
 	if cop.behind.IsZero() {
 		cop.behind = now
 	}
-	silent := cop.follower.Relays() || cop.follower.Failing() > 0 || now.Sub(cop.behind) > lagAllowed
+	expected := cop.follower.Relays() || cop.follower.Failing() > 0
+	silent := near && expected || now.Sub(cop.behind) > lagAllowed
 	if !silent || cop.busy || now.Sub(cop.last) < copyPause {
 		return false
 	}
@@ -159,9 +166,10 @@
 	defer fault.Annotate(&err, "pack copy")
 	cop.packing.Lock()
 	defer cop.packing.Unlock()
-	if cop.pack != nil && cop.packVersion == cop.follower.Version() {
+	if cop.pack != nil && cop.packVersion == cop.follower.Newest() {
 		return cop.pack, nil
 	}
+	newest := cop.follower.Newest()
 	chs := cop.follower.Copy()
 	msg := &wire.Copy{Version: chs.Version}
 	for _, rec := range chs.Records {
@@ -182,6 +190,6 @@
 	if err := wri.Close(); err != nil {
 		return nil, err
 	}
-	cop.pack, cop.packVersion = buf.Bytes(), chs.Version
+	cop.pack, cop.packVersion = buf.Bytes(), newest
 	return cop.pack, nil
 }
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -161,7 +161,7 @@
 	}
 	dig.Reads = true
 	for knd, fol := range msh.options.Copies {
-		dig.Versions[string(knd)] = fol.Version()
+		dig.Versions[string(knd)] = fol.Newest()
 		dig.Reads = dig.Reads && fol.Failing() == 0 && !fol.Relays()
 	}
 	msh.options.Load.Describe(dig)
--- a/internal/router/mesh/mesh_test.go
+++ b/internal/router/mesh/mesh_test.go
@@ -53,6 +53,11 @@
 
 // start runs a node whose own feed comes from feed and whose list of nodes is in src.
 func start(t *testing.T, name string, src *stand.Source, feed router.Source) node {
+	t.Helper()
+	return startIn(t, "domain", name, src, feed)
+}
+
+func startIn(t *testing.T, domain, name string, src *stand.Source, feed router.Source) node {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,7 +67,7 @@
 	fol := follow.New(follow.Options{Source: feed, Kind: router.Instances, Log: log, Apply: func(follow.Update) {}})
 	lod := newLoad()
 	msh := mesh.New(mesh.Options{
-		Self:   router.Member{Name: name, Address: lis.Addr().String(), FailureDomain: "domain"},
+		Self:   router.Member{Name: name, Address: lis.Addr().String(), FailureDomain: domain},
 		Timers: timer.Real{}, Log: log, Source: src, Codec: stand.Codec{}, Load: lod,
 		Copies: map[router.RecordKind]*follow.Follower{router.Instances: fol},
 	})
@@ -125,3 +130,18 @@
 		t.Errorf("versions %d and %d", one.copies.Version(), two.copies.Version())
 	}
 }
+
+// TestStaleNeighboursDoNotHideNewerOnes has the store turn away a whole failure domain, whose nodes hear each other most.
+func TestStaleNeighboursDoNotHideNewerOnes(t *testing.T) {
+	src, away := stand.NewSource(), stand.NewSource()
+	away.Fail(router.ErrUnavailable)
+	src.Set(router.Instances, "first", []byte("1"))
+	startIn(t, "far", "one", src, src)
+	near := []node{startIn(t, "near", "two", src, away), startIn(t, "near", "three", src, away), startIn(t, "near", "four", src, away)}
+	for num := range 3 {
+		src.Set(router.Instances, string(rune('a'+num)), []byte("1"))
+		for _, nod := range near {
+			eventually(t, "the change was not fetched", func() bool { return len(nod.copies.Copy().Records) == num+2 })
+		}
+	}
+}
