--- a/cmd/hornbeamdyke/main.go
+++ b/cmd/hornbeamdyke/main.go
@@ -30,6 +30,15 @@
 			return exitFailed
 		}
 	}
+	psr.CommandHandler = func(cmd flags.Commander, rest []string) (err error) {
+		if len(rest) > 0 {
+			return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
+		}
+		if cmd == nil {
+			return nil
+		}
+		return cmd.Execute(rest)
+	}
 	_, err := psr.ParseArgs(args)
 	return report(err, out, eout)
 }
--- a/internal/query/settings.go
+++ b/internal/query/settings.go
@@ -13,7 +13,12 @@
 // Check judges a configuration and, unless node is empty, a node's settings; err is conf.Errors with every fault.
 func Check(out io.Writer, base string, overlays []string, node string) (err error) {
 	if node != "" {
-		if _, err := conf.LoadNode(node); err != nil {
+		set, err := conf.LoadNode(node)
+		if err != nil {
+			return err
+		}
+		if base == "" {
+			_, err = fmt.Fprintf(out, "ok: node %s\n", set.Name)
 			return err
 		}
 	}
--- a/internal/router/guard/guard.go
+++ b/internal/router/guard/guard.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// Total returns the number of strikes that are remembered.
+func (grd *Guard) Total() (num int) {
+	for idx := range grd.shards {
+		shd := &grd.shards[idx]
+		shd.mut.Lock()
+		for _, sts := range shd.strikes {
+			num += len(sts)
+		}
+		shd.mut.Unlock()
+	}
+	return num
+}
+
 // Suspect reports whether a request has a strike.
 func (grd *Guard) Suspect(digest string) bool {
 	return grd.count(digest) > 0
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -46,19 +47,25 @@
 
 // serve runs a job before upstreams that answer by scripts.
 func serve(t testing.TB, rou router.Route, scrs ...*stand.Script) (rec *httptest.ResponseRecorder, rep send.Report, aborted bool) {
+	t.Helper()
+	grd, stop := guard.New(timer.Real{}, send.CrashStrikes)
+	defer stop()
+	return serveWith(t, grd, rou, scrs...)
+}
+
+// serveWith runs a job on a node that remembers crashes.
+func serveWith(t testing.TB, grd *guard.Guard, rou router.Route, scrs ...*stand.Script) (rec *httptest.ResponseRecorder, rep send.Report, aborted bool) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ros := roster.New(roster.Options{Timers: timer.Real{}, Codec: stand.Codec{}, Log: log, Gone: func(router.Instance) {}})
 	var upd follow.Update
 	for idx, scr := range scrs {
 		upd.Changed = append(upd.Changed, router.Record{
-			Key:   string(rune('a' + idx)),
+			Key:   string(rune('a'+idx)) + scr.Address,
 			Value: []byte("{service: svc, address: '" + scr.Address + "'}"),
 		})
 	}
 	ros.Apply(upd)
-	grd, stop := guard.New(timer.Real{}, send.CrashStrikes)
-	defer stop()
 	snd := send.New(send.Options{
 		Timers:  timer.Real{},
 		Dialect: stand.Dialect{},
@@ -245,3 +252,27 @@
 		t.Errorf("Retry-After %q, body %s", got, rec.Body)
 	}
 }
+
+// TestCrashingRequestIsRefused sends one request to upstreams that do not survive it.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	tms := timer.NewManual(time.Unix(1000, 0))
+	grd, stop := guard.New(tms, send.CrashStrikes)
+	defer stop()
+	for num := range send.CrashStrikes {
+		scr := stand.NewScript(t, stand.Crash)
+		rec, _, _ := serveWith(t, grd, router.Route{}, scr)
+		if rec.Code != http.StatusBadGateway {
+			t.Fatalf("crash %d: status %d", num, rec.Code)
+		}
+		// The crash is confirmed beside the answer.
+		for end := time.Now().Add(patience); grd.Total() <= num && time.Now().Before(end); {
+			runtime.Gosched()
+		}
+		tms.Advance(2 * time.Second)
+	}
+	scr := stand.NewScript(t, whole)
+	rec, rep, _ := serveWith(t, grd, router.Route{}, scr)
+	if rec.Code != http.StatusServiceUnavailable || rep.Outcome != router.NotRun || len(scr.Requests()) > 0 {
+		t.Errorf("status %d, outcome %s, %d sent", rec.Code, rep.Outcome, len(scr.Requests()))
+	}
+}
--- a/internal/stand/script.go
+++ b/internal/stand/script.go
@@ -13,8 +13,9 @@
 type Script struct {
 	Address string
 
-	answers *Answers
-	mut     sync.Mutex
+	answers  *Answers
+	listener net.Listener
+	mut      sync.Mutex
 	// requests holds what was received.
 	requests []*http.Request
 	accepted int
@@ -26,6 +27,8 @@
 	Cut = "\x00cut"
 	// Reset at the end of an answer resets the connection behind it.
 	Reset = "\x00reset"
+	// Crash at the end of an answer closes the connection and accepts no others from then on.
+	Crash = "\x00crash"
 	// Silent at the end of an answer leaves the connection open and says no more.
 	Silent = "\x00silent"
 )
@@ -65,7 +68,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = lis.Close() })
-	scr := &Script{Address: lis.Addr().String(), answers: answers}
+	scr := &Script{Address: lis.Addr().String(), answers: answers, listener: lis}
 	go func() {
 		for {
 			soc, err := lis.Accept()
@@ -115,6 +118,9 @@
 		switch "\x00" + end {
 		case Cut:
 			return
+		case Crash:
+			_ = scr.listener.Close()
+			return
 		case Reset:
 			if tcp, ok := soc.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
