--- a/internal/router/edge/front_test.go
+++ b/internal/router/edge/front_test.go
@@ -92,7 +92,7 @@
 	return started{Node: nod, url: srv.URL, log: log}
 }
 
-func (sta started) send(t *testing.T, path, key string, body io.Reader) (rsp *http.Response, txt string, err error) {
+func (sta started) send(t *testing.T, path, key string, body io.Reader) (rsp *http.Response, err error) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, sta.url+path, body)
 	if err != nil {
@@ -103,11 +103,11 @@
 	req.Header.Set(stand.HeaderKey, key)
 	rsp, err = http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	defer rsp.Body.Close()
-	raw, err := io.ReadAll(rsp.Body)
-	return rsp, string(raw), err
+	_, err = io.Copy(io.Discard, rsp.Body)
+	return rsp, err
 }
 
 const answer = "HTTP/1.1 200 OK\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -149,7 +149,7 @@
 			if cas.prepare != nil {
 				cas.prepare(sta.Node)
 			}
-			rsp, _, err := sta.send(t, cas.path, cas.key, cas.body)
+			rsp, err := sta.send(t, cas.path, cas.key, cas.body)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -210,7 +210,7 @@
 	for name, cas := range cases {
 		t.Run(name, func(t *testing.T) {
 			sta := start(t, stand.NewScript(t, cas.answer).Address, manifest)
-			_, _, _ = sta.send(t, cas.path, "key", nil)
+			_, _ = sta.send(t, cas.path, "key", nil)
 			// The last lines are written after the answer.
 			var got string
 			for end := time.Now().Add(patience); time.Now().Before(end); runtime.Gosched() {
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -39,7 +39,7 @@
 	// acceptAfterStop is how long a stopping node still serves, so that the balancer takes it out first: two probes a second apart, and some slack.
 	acceptAfterStop = 2500 * time.Millisecond
 	// stopMargin is how much of the grace period is kept for the end of the process.
-	stopMargin = time.Second
+	stopMargin = 600 * time.Millisecond
 	// budgetSafety is the part of the common retry allowance that nodes use; their counts of each other lag.
 	budgetSafety = 0.7
 	// lonelyShare divides the common retry allowance while a node does not know how many others there are.
--- a/internal/router/link/pool.go
+++ b/internal/router/link/pool.go
@@ -15,8 +15,8 @@
 const (
 	// dialTimeout limits connecting; it holds the longest round trip between regions several times.
 	dialTimeout = 500 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
-	unackedTimeout = 2 * time.Second
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails; it leaves time for two losses in a row between regions.
+	unackedTimeout = time.Second
 	// idleMost is how long an idle connection is kept when the upstream names no timeout.
 	idleMost = 10 * time.Second
 	// idleMargin is how much earlier than the upstream a connection is given up, so that no request crosses the close.
--- a/internal/router/place/board.go
+++ b/internal/router/place/board.go
@@ -70,6 +70,14 @@
 	return lod
 }
 
+// Pause gives an incarnation nothing for a moment, because it could not be reached.
+func (brd *Board) Pause(ins router.Instance) {
+	lod := brd.load(ins)
+	lod.mut.Lock()
+	defer lod.mut.Unlock()
+	lod.pause(brd.options.Timers.Now())
+}
+
 // Own returns what this node has in flight, by the hash of the incarnation's key.
 func (brd *Board) Own() (infs map[uint64]InFlight) {
 	brd.mut.Lock()
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -233,9 +233,14 @@
 	case Failed:
 		lod.failures += failureWeight * (1 - lod.failures)
 	case Unreachable, Full:
-		lod.failures += failureWeight * (1 - lod.failures)
-		lod.streak++
-		lod.until = tic.now().Add(min(pauseMost, pauseLeast<<min(lod.streak-1, 5)))
+		lod.pause(tic.now())
 	case Left:
 	}
 }
+
+// pause leaves an upstream alone for a time that doubles with each failure; the lock is held.
+func (lod *load) pause(now time.Time) {
+	lod.failures += failureWeight * (1 - lod.failures)
+	lod.streak++
+	lod.until = now.Add(min(pauseMost, pauseLeast<<min(lod.streak-1, 5)))
+}
--- a/internal/router/send/crash.go
+++ b/internal/router/send/crash.go
@@ -41,15 +41,25 @@
 
 // confirmCrash records a strike if an upstream whose connection broke cannot be reached.
 func (snd *Sender) confirmCrash(request, digest string, ins router.Instance) {
+	if snd.reach(request, ins) {
+		return
+	}
+	snd.options.Strike(guard.Strike{Digest: digest, Upstream: place.Key(ins), At: snd.options.Timers.Now()})
+	snd.options.Log.Info("upstream crashed with request", "Request", request, "Digest", digest, "Upstream", ins.ID)
+}
+
+// reach reports whether an upstream accepts connections; one that does not is left alone for a moment.
+func (snd *Sender) reach(request string, ins router.Instance) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
 	defer cancel()
 	con, err := snd.options.Links.Pool(place.Key(ins), ins.Address).Dial(ctx)
 	if err == nil {
 		con.Close()
-		return
+		return true
 	}
-	snd.options.Log.Info("upstream crashed with request", "Request", request, "Digest", digest, "Upstream", ins.ID, "Error", err.Error())
-	snd.options.Strike(guard.Strike{Digest: digest, Upstream: place.Key(ins), At: snd.options.Timers.Now()})
+	snd.options.Board.Pause(ins)
+	snd.options.Log.Info("upstream not reached", "Request", request, "Upstream", ins.ID, "Error", err.Error())
+	return false
 }
 
 // quarantine refuses a request that crashed upstreams.
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -23,6 +23,8 @@
 	onceIdle = 2 * time.Second
 	// anyIdle puts no bound on how long a connection may have been idle, beyond the upstream's own.
 	anyIdle = time.Hour
+	// silentShare is the share of its target that an idempotent call waits for an answer before it goes to another upstream.
+	silentShare = 0.6
 	// comeBack is the Retry-After of a refusal that says nothing better.
 	comeBack = 300 * time.Millisecond
 )
@@ -225,7 +227,14 @@
 		opt.Log.Info("sent again", "Request", cou.job.Call.ID, "Upstream", ins.ID, "Send", cou.sends+1, "After", cou.reason)
 	}
 	cou.sends++
-	sta, res = cou.exchange(ctx, ins, con, tic)
+	sub, cancel := cou.limit(ctx)
+	defer cancel()
+	sta, res = cou.exchange(sub, ins, con, tic)
+	if sub.Err() != nil && ctx.Err() == nil {
+		// The upstream was silent; whether it is gone decides if others are sent there.
+		res = place.Failed
+		go cou.sender.reach(cou.job.Call.ID, ins)
+	}
 	if sta != answered {
 		cou.tried[place.Key(ins)] = true
 	}
@@ -235,6 +244,16 @@
 	return sta
 }
 
+// limit bounds a sending of an idempotent call that may be sent to another upstream after it.
+func (cou *course) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	rou := cou.job.Route
+	again := rou.Repeat == router.Freely && cou.sends < rou.Attempts && rou.Target > 0
+	if !again || !cou.sender.options.Budget.Of(cou.job.Service).Can() {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, time.Duration(silentShare*float64(rou.Target)))
+}
+
 func (cou *course) want() place.Want {
 	cal := cou.job.Call
 	return place.Want{
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -182,6 +182,16 @@
 	}
 }
 
+// TestSilentUpstreamIsLeftForAnother has the first upstream take a lookup and say nothing.
+func TestSilentUpstreamIsLeftForAnother(t *testing.T) {
+	pool := &order{answers: []string{stand.Silent, whole}}
+	scrs := pool.upstreams(t, 2)
+	rec, rep, _ := serve(t, router.Route{Repeat: router.Freely, Attempts: 2, Target: 100 * time.Millisecond}, scrs...)
+	if rec.Code != http.StatusOK || rep.Sends != 2 {
+		t.Errorf("status %d after %d sendings", rec.Code, rep.Sends)
+	}
+}
+
 // TestPromiseIsTrue draws series of answers: a status that promises "not run" never follows a sending that may have run.
 func TestPromiseIsTrue(t *testing.T) {
 	kinds := map[string]string{
