Send peers only what changed, and let few nodes read a large fleet's records first

Change: a peer gets what changed after its newest change, deletions included; with more than 16 peers, nodes that are not among the first two of their failure domain leave the first reading to these for up to 2 s (TestSince).

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -97,7 +97,7 @@
 		},
 	})
 	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, Relayed: nod.relayed})
-	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply, Relayed: nod.relayed})
+	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply, Relayed: nod.relayedInstances})
 	grd, stop := guard.New(opt.Timers, send.CrashStrikes)
 	nod.closers = append(nod.closers, stop)
 	lov := &loadView{board: board, guard: grd, timers: opt.Timers}
@@ -143,6 +143,11 @@
 	return nod.mesh.Relayed()
 }
 
+// relayedInstances reports whether peers bring the upstreams' records; in a large fleet few nodes read them at the start.
+func (nod *Node) relayedInstances() bool {
+	return nod.mesh.Relayed() || nod.instances.Version() == 0 && nod.mesh.Starting()
+}
+
 // applyManifest puts a new manifest in force; older versions never replace newer ones.
 func (nod *Node) applyManifest(upd follow.Update) {
 	for _, rec := range upd.Changed {
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -20,10 +20,13 @@
 	// retryLeast and retryMost bound the pause before a failed call is repeated.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = time.Second
+	// deletedMost bounds the deletions that are remembered for peers.
+	deletedMost = 1000
 	// outageEcho is how long after an outage copies say so; records that lapsed in it are written again within two seconds.
 	outageEcho = 3 * time.Second
-	// relayedPause is how often a Follower whose changes come from peers looks whether they still do.
+	// relayedPause is how often a Follower whose changes come from peers looks whether they still do, and startPause the same before it has anything.
 	relayedPause = 250 * time.Millisecond
+	startPause   = 20 * time.Millisecond
 )
 
 // Update is a change of the copy.
@@ -54,6 +57,9 @@
 	version int64
 	// newest is the version of the newest change in the copy; the store counts changes of all kinds together.
 	newest int64
+	// deleted holds the versions at which records were deleted, and forgotten the newest of those that are not held any more.
+	deleted   map[string]int64
+	forgotten int64
 	// read is set once everything has been read.
 	read bool
 	// regained is when the store answered again after its last failure.
@@ -64,7 +70,7 @@
 
 // New returns an empty Follower.
 func New(opt Options) *Follower {
-	return &Follower{options: opt, records: make(map[string]router.Record)}
+	return &Follower{options: opt, records: make(map[string]router.Record), deleted: make(map[string]int64)}
 }
 
 // Run follows the store until the context ends.
@@ -73,7 +79,7 @@
 	for ctx.Err() == nil {
 		if fol.relayed() {
 			fol.rest()
-			pause(ctx, relayedPause)
+			pause(ctx, fol.relayedPause())
 			continue
 		}
 		chs, err := fol.next(ctx)
@@ -97,8 +103,12 @@
 	}
 }
 
-// Offer takes a peer's whole copy where it is newer than the own one.
+// Offer takes a peer's copy, or what changed in it after the newest change here.
 func (fol *Follower) Offer(chs router.Changes) {
+	if chs.Version == 0 {
+		// The peer has read nothing itself.
+		return
+	}
 	fol.accept(chs, false)
 }
 
@@ -131,10 +141,35 @@
 	return max(1, time.Since(fol.failing))
 }
 
+// Since returns what changed after a version, or everything where that is not known any more.
+func (fol *Follower) Since(after int64) (chs router.Changes) {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	if after <= fol.forgotten {
+		return fol.copy()
+	}
+	chs = router.Changes{Version: fol.version, AfterOutage: time.Since(fol.regained) < outageEcho}
+	for _, rec := range fol.records {
+		if rec.Version > after {
+			chs.Records = append(chs.Records, rec)
+		}
+	}
+	for key, ver := range fol.deleted {
+		if ver > after {
+			chs.Records = append(chs.Records, router.Record{Key: key, Version: ver, Deleted: true})
+		}
+	}
+	return chs
+}
+
 // Copy returns all records as of one version; it is empty before the first read.
 func (fol *Follower) Copy() (chs router.Changes) {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
+	return fol.copy()
+}
+
+func (fol *Follower) copy() (chs router.Changes) {
 	chs = router.Changes{Version: fol.version, Whole: true, AfterOutage: time.Since(fol.regained) < outageEcho}
 	for _, rec := range fol.records {
 		chs.Records = append(chs.Records, rec)
@@ -142,9 +177,9 @@
 	return chs
 }
 
-// relayed reports whether peers bring the changes; the first copy is always read from the store or offered before.
+// relayed reports whether peers bring the changes.
 func (fol *Follower) relayed() bool {
-	return fol.options.Relayed != nil && fol.Version() > 0 && fol.options.Relayed()
+	return fol.options.Relayed != nil && fol.options.Relayed()
 }
 
 func (fol *Follower) next(ctx context.Context) (chs router.Changes, err error) {
@@ -175,6 +210,14 @@
 	}
 }
 
+// relayedPause returns how soon a Follower whose changes come from peers looks whether they still do.
+func (fol *Follower) relayedPause() time.Duration {
+	if fol.Version() == 0 {
+		return startPause
+	}
+	return relayedPause
+}
+
 // rest leaves the store to peers; a failure of the own feed says nothing of the copy any more.
 func (fol *Follower) rest() {
 	fol.mut.Lock()
@@ -206,13 +249,9 @@
 	} else {
 		upd.Regained = chs.AfterOutage && len(upd.Changed) > 0
 	}
-	if own || chs.Whole {
-		fol.version = max(fol.version, chs.Version)
-		fol.read = true
-	}
-	for _, rec := range upd.Changed {
-		fol.newest = max(fol.newest, rec.Version)
-	}
+	fol.version = max(fol.version, chs.Version)
+	fol.read = true
+	fol.note(upd.Changed)
 	version := fol.version
 	if len(upd.Changed) > 0 || upd.Regained {
 		// Told under the lock, so that changes are applied in order.
@@ -225,6 +264,25 @@
 	return len(upd.Changed)
 }
 
+// note remembers the versions of changes.
+func (fol *Follower) note(changed []router.Record) {
+	for _, rec := range changed {
+		fol.newest = max(fol.newest, rec.Version)
+		if rec.Deleted {
+			fol.deleted[rec.Key] = rec.Version
+		} else {
+			delete(fol.deleted, rec.Key)
+		}
+	}
+	if len(fol.deleted) <= deletedMost {
+		return
+	}
+	for _, ver := range fol.deleted {
+		fol.forgotten = max(fol.forgotten, ver)
+	}
+	clear(fol.deleted)
+}
+
 // merge applies changes that are newer than the copy and returns them.
 func (fol *Follower) merge(chs router.Changes) (changed []router.Record) {
 	if chs.Whole && chs.Version < fol.version {
--- a/internal/router/follow/follow_test.go
+++ b/internal/router/follow/follow_test.go
@@ -184,3 +184,33 @@
 		t.Errorf("updates after an outage: %v", regained)
 	}
 }
+
+// TestSince has a peer ask for what changed after a version.
+func TestSince(t *testing.T) {
+	newFollower := func() *follow.Follower {
+		return follow.New(follow.Options{Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Apply: func(follow.Update) {}})
+	}
+	one, two := newFollower(), newFollower()
+	sync := func() {
+		two.Offer(one.Since(two.Newest()))
+		keys := func(fol *follow.Follower) (res []string) {
+			for _, rec := range fol.Copy().Records {
+				res = append(res, rec.Key+string(rec.Value))
+			}
+			slices.Sort(res)
+			return res
+		}
+		if !slices.Equal(keys(one), keys(two)) {
+			t.Errorf("the copies differ: %v, %v", keys(one), keys(two))
+		}
+	}
+	one.Offer(router.Changes{Version: 3, Whole: true, Records: []router.Record{{Key: "a", Version: 1}, {Key: "b", Version: 3}}})
+	sync()
+	one.Offer(router.Changes{Version: 5, Records: []router.Record{{Key: "a", Version: 4, Deleted: true}, {Key: "c", Version: 5}}})
+	if chs := one.Since(3); chs.Whole || len(chs.Records) != 2 {
+		t.Errorf("changes after 3: %+v", chs)
+	}
+	sync()
+	one.Offer(router.Changes{Version: 9, Whole: true, Records: []router.Record{{Key: "c", Value: []byte("new"), Version: 8}}})
+	sync()
+}
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +25,8 @@
 const (
 	// copyPath is where a node serves its copies to peers.
 	copyPath = "/v1/copies/"
+	// afterField names the version after which a peer wants changes; 0 asks for everything.
+	afterField = "After"
 	// copyDial limits connecting to a peer, and copyTimeout fetching its copy over a narrow link.
 	copyDial    = time.Second
 	copyTimeout = 4 * time.Second
@@ -47,9 +51,9 @@
 	last   time.Time
 
 	packing sync.Mutex
-	// pack is the compressed copy as of packVersion; nil before anyone asked.
-	pack        []byte
-	packVersion int64
+	// pack is what was compressed last: the changes after packAfter as of packVersion; nil before anyone asked.
+	pack                   []byte
+	packVersion, packAfter int64
 }
 
 var client = &http.Client{Transport: &http.Transport{
@@ -112,7 +116,7 @@
 	defer fault.Annotate(&err, "fetch copy")
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+copyPath+string(cop.kind), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s%s?%s=%d", address, copyPath, cop.kind, afterField, cop.follower.Newest()), nil)
 	if err != nil {
 		return 0, err
 	}
@@ -132,9 +136,9 @@
 	if rsp.StatusCode != http.StatusOK {
 		return 0, errors.Errorf("status %d", rsp.StatusCode)
 	}
-	chs := router.Changes{Version: msg.GetVersion(), Whole: true, AfterOutage: msg.GetAfterOutage()}
+	chs := router.Changes{Version: msg.GetVersion(), Whole: msg.GetWhole(), AfterOutage: msg.GetAfterOutage()}
 	for _, rec := range msg.GetRecords() {
-		chs.Records = append(chs.Records, router.Record{Key: rec.GetKey(), Value: rec.GetValue(), Version: rec.GetVersion()})
+		chs.Records = append(chs.Records, router.Record{Key: rec.GetKey(), Value: rec.GetValue(), Version: rec.GetVersion(), Deleted: rec.GetDeleted()})
 	}
 	cop.follower.Offer(chs)
 	return len(chs.Records), nil
@@ -145,7 +149,12 @@
 	mux := http.NewServeMux()
 	for _, cop := range msh.copiers {
 		mux.HandleFunc("GET "+copyPath+string(cop.kind), func(wri http.ResponseWriter, req *http.Request) {
-			txt, err := cop.packed()
+			after, err := strconv.ParseInt(req.FormValue(afterField), 10, 64)
+			if err != nil {
+				http.Error(wri, err.Error(), http.StatusBadRequest)
+				return
+			}
+			txt, err := cop.packed(after)
 			if err != nil {
 				http.Error(wri, err.Error(), http.StatusInternalServerError)
 				return
@@ -161,24 +170,33 @@
 	return mux
 }
 
-// packed returns the copy, marshalled and compressed; many peers ask for the same version at once.
-func (cop *copier) packed() (txt []byte, err error) {
+// packed returns what changed after a version, marshalled and compressed; many peers ask for the same at once.
+func (cop *copier) packed(after int64) (txt []byte, err error) {
 	defer fault.Annotate(&err, "pack copy")
 	cop.packing.Lock()
 	defer cop.packing.Unlock()
-	if cop.pack != nil && cop.packVersion == cop.follower.Newest() {
+	newest := cop.follower.Newest()
+	if cop.pack != nil && cop.packVersion == newest && cop.packAfter == after {
 		return cop.pack, nil
 	}
-	newest := cop.follower.Newest()
-	chs := cop.follower.Copy()
-	msg := &wire.Copy{Version: chs.Version, AfterOutage: chs.AfterOutage}
+	chs := cop.follower.Since(after)
+	msg := &wire.Copy{Version: chs.Version, Whole: chs.Whole, AfterOutage: chs.AfterOutage}
 	for _, rec := range chs.Records {
-		msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version})
+		msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version, Deleted: rec.Deleted})
 	}
 	raw, err := proto.Marshal(msg)
 	if err != nil {
 		return nil, err
 	}
+	txt, err = compress(raw)
+	if err != nil {
+		return nil, err
+	}
+	cop.pack, cop.packVersion, cop.packAfter = txt, newest, after
+	return txt, nil
+}
+
+func compress(raw []byte) (txt []byte, err error) {
 	var buf bytes.Buffer
 	wri, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
 	if err != nil {
@@ -190,6 +208,5 @@
 	if err := wri.Close(); err != nil {
 		return nil, err
 	}
-	cop.pack, cop.packVersion = buf.Bytes(), newest
-	return cop.pack, nil
+	return buf.Bytes(), nil
 }
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -29,6 +29,12 @@
 	silentEvery = 10
 	// readersPerDomain is how many nodes of a failure domain follow the store; the others get its changes from them.
 	readersPerDomain = 2
+	// startLimit is how long after its start a node leaves the first reading of the store to the nodes that are listed before it.
+	startLimit = 2 * time.Second
+	// listLimit is how long after its start a node waits for the list of nodes.
+	listLimit = 300 * time.Millisecond
+	// directNodes is the number of peers up to which all nodes read the store for themselves at the start.
+	directNodes = 16
 	// domainEvery and regionEvery are how many digests go to the own failure domain for each one to another domain and to another region.
 	domainEvery = 2
 	regionEvery = 4
@@ -68,12 +74,15 @@
 type Mesh struct {
 	options     Options
 	incarnation int64
+	started     time.Time
 	copiers     []*copier
 
 	mut      sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
 	stopping bool
+	// listed is set once the list of nodes was read.
+	listed bool
 	// told holds the placements of the last digests, which those who get fewer digests are told together.
 	told [][]*wire.Placement
 }
@@ -93,7 +102,8 @@
 
 // New returns a Mesh that knows no peers.
 func New(opt Options) *Mesh {
-	msh := &Mesh{options: opt, incarnation: opt.Timers.Now().UnixNano(), peers: make(map[string]*peer)}
+	now := opt.Timers.Now()
+	msh := &Mesh{options: opt, started: now, incarnation: now.UnixNano(), peers: make(map[string]*peer)}
 	for knd, fol := range opt.Copies {
 		msh.copiers = append(msh.copiers, &copier{kind: knd, follower: fol})
 	}
@@ -204,14 +214,36 @@
 func (msh *Mesh) Relayed() bool {
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
-	own, before := msh.options.Self, 0
+	_, live := msh.before()
+	return live >= readersPerDomain
+}
+
+// Starting reports whether the node leaves the first reading of the store to others that start with it.
+func (msh *Mesh) Starting() bool {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	age := msh.options.Timers.Now().Sub(msh.started)
+	if !msh.listed {
+		return age < listLimit
+	}
+	listed, _ := msh.before()
+	return age < startLimit && len(msh.peers) >= directNodes && listed >= readersPerDomain
+}
+
+// before returns how many nodes of the failure domain read the store before this one: those listed, and of them those that do so now.
+func (msh *Mesh) before() (listed, reading int) {
+	own := msh.options.Self
 	rank := xxhash.Sum64String(own.Name)
 	for _, per := range msh.peers {
-		if per.live && per.reads && per.member.FailureDomain == own.FailureDomain && xxhash.Sum64String(per.member.Name) < rank {
-			before++
+		if per.member.FailureDomain != own.FailureDomain || xxhash.Sum64String(per.member.Name) >= rank {
+			continue
+		}
+		listed++
+		if per.live && per.reads {
+			reading++
 		}
 	}
-	return before >= readersPerDomain
+	return listed, reading
 }
 
 // targets numbers a digest and returns whom to send it to, by how many digests they get one for; peers that went silent are noted.
@@ -334,6 +366,7 @@
 	}
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
+	msh.listed = true
 	for nam, per := range msh.peers {
 		if !listed[nam] && !per.live {
 			delete(msh.peers, nam)
