--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -34,7 +34,7 @@
 	// listLimit is how long after its start a node waits for the list of nodes.
 	listLimit = 300 * time.Millisecond
 	// directNodes is the number of peers up to which all nodes read the store for themselves at the start.
-	directNodes = 16
+	directNodes = 128
 	// domainEvery and regionEvery are how many digests go to the own failure domain for each one to another domain and to another region.
 	domainEvery = 2
 	regionEvery = 4
