Give each soak seed its own address, bound memory, and keep one Sleep

Cause: soak seed 42 beside seed 41: 'address already in use' in n-0's log, and its callers got 404 from the other run's node: both chose the same free port. RetryWindow, which nothing used, is gone; MemoryMebibytes bounds the collector.

--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"os"
+	"runtime/debug"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
@@ -17,6 +18,9 @@
 // envUnprotected is the environment variable by which failure runs remove the claim of orders.
 const envUnprotected = "HORNBEAMDYKE_TEST_UNPROTECTED"
 
+// memoryShare is the share of a machine's memory at which the collector begins to work harder; sockets need the rest.
+const memoryShare = 0.8
+
 type serveCommand struct {
 	document
 
@@ -43,6 +47,9 @@
 	defer func() { err = errors.Join(err, snk.Close()) }()
 	log := logs.New(snk, lvl).With("Node", set.Name)
 	if set.Platform.Store != "" {
+		if set.Platform.MemoryMebibytes > 0 {
+			debug.SetMemoryLimit(int64(memoryShare * float64(set.Platform.MemoryMebibytes<<20)))
+		}
 		return edge.New(edge.Options{
 			Settings: set,
 			Timers:   timer.Real{},
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -124,7 +124,6 @@
 		chk.name(join(pth, "Region"), dom.Region)
 	}
 	chk.positive("Platform.Grace", plt.Grace)
-	chk.positive("Platform.RetryWindow", plt.RetryWindow)
 	chk.share("Platform.RetryShare", plt.RetryShare)
 	if plt.RetryReserve < 0 {
 		chk.fail("Platform.RetryReserve", "%g must not be below 0", plt.RetryReserve)
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -142,9 +142,7 @@
 	RetryShare float64
 	// RetryReserve is the number of repeated sendings that all nodes together may make in a window beyond RetryShare.
 	RetryReserve float64
-	// RetryWindow is the length of that window.
-	RetryWindow time.Duration
-	// MemoryMebibytes is the memory that the process may use.
+	// MemoryMebibytes is the memory that the process may use; zero means that there is no limit.
 	MemoryMebibytes int
 }
 
@@ -225,8 +223,7 @@
 		Objects: Objects{Kind: Memory, Timeout: 5 * time.Second},
 		VMList:  VMList{Interval: time.Second},
 		Platform: Platform{
-			Grace:       8 * time.Second,
-			RetryWindow: 10 * time.Second,
+			Grace: 8 * time.Second,
 		},
 	}
 }
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 )
 
 const (
@@ -79,7 +80,7 @@
 	for ctx.Err() == nil {
 		if fol.relayed() {
 			fol.rest()
-			pause(ctx, fol.relayedPause())
+			timer.Sleep(ctx, fol.relayedPause())
 			continue
 		}
 		chs, err := fol.next(ctx)
@@ -92,13 +93,13 @@
 			continue
 		case err != nil:
 			fol.fail(err)
-			pause(ctx, retry/2+rand.N(retry))
+			timer.Sleep(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, retryMost)
 			continue
 		}
 		retry = retryLeast
 		if fol.accept(chs, true) > 0 {
-			pause(ctx, batchPause)
+			timer.Sleep(ctx, batchPause)
 		}
 	}
 }
@@ -313,12 +314,3 @@
 	}
 	return changed
 }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
@@ -147,7 +148,7 @@
 	go msh.receive(ctx, soc)
 	for ctx.Err() == nil {
 		msh.send(soc)
-		sleep(ctx, msh.pause())
+		timer.Sleep(ctx, msh.pause())
 	}
 	return nil
 }
@@ -282,7 +283,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				msh.options.Log.Warn("datagram not received", "Error", err.Error())
-				sleep(ctx, digestLeast)
+				timer.Sleep(ctx, digestLeast)
 			}
 			continue
 		}
@@ -337,17 +338,17 @@
 			break
 		}
 		msh.options.Log.Info("node not listed", "Error", err.Error())
-		sleep(ctx, joinRetry+rand.N(joinRetry))
+		timer.Sleep(ctx, joinRetry+rand.N(joinRetry))
 	}
 	for ctx.Err() == nil {
 		chs, err := msh.options.Source.Read(ctx, router.Members)
 		if err != nil {
 			msh.options.Log.Info("list of nodes not read", "Error", err.Error())
-			sleep(ctx, joinRetry+rand.N(joinRetry))
+			timer.Sleep(ctx, joinRetry+rand.N(joinRetry))
 			continue
 		}
 		msh.merge(chs)
-		sleep(ctx, membersEvery+rand.N(membersEvery))
+		timer.Sleep(ctx, membersEvery+rand.N(membersEvery))
 	}
 }
 
@@ -394,12 +395,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/router/timer/sleep.go
@@ -0,0 +1,16 @@
+package timer
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time or until the context ends.
+func Sleep(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/platform/mock"
 )
 
@@ -71,7 +72,7 @@
 		cas.mut.Lock()
 		cas.results = append(cas.results, res)
 		cas.mut.Unlock()
-		sleep(ctx, think)
+		timer.Sleep(ctx, think)
 	}
 }
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -32,11 +32,12 @@
 }
 
 // newNode writes the settings of a node.
-func newNode(binary, dir, name string, store *Proxy) (nod *node, err error) {
+func newNode(opt Options, name string, store *Proxy) (nod *node, err error) {
 	defer fault.Annotatef(&err, "prepare %s", name)
 	var adrs [3]string
 	for idx := range adrs {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		// Each seed has a loopback address of its own, so that runs beside each other and outgoing connections take no port of it.
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", opt.Seed/250%250, opt.Seed%250+1))
 		if err != nil {
 			return nil, err
 		}
@@ -46,8 +47,8 @@
 		}
 	}
 	nod = &node{
-		name: name, listen: adrs[0], binary: binary, store: store,
-		file: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"),
+		name: name, listen: adrs[0], binary: opt.Binary, store: store,
+		file: filepath.Join(opt.Dir, name+".yaml"), log: filepath.Join(opt.Dir, name+".log"),
 	}
 	txt := fmt.Sprintf(`Name: %s
 FailureDomain: here
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
 	"github.com/hornbeamdyke/hornbeamdyke/platform/mock"
 )
@@ -98,9 +99,9 @@
 	wrd.callers.start(ctx)
 	wrd.injectFaults(ctx)
 	wrd.lasting.Wait()
-	sleep(ctx, settle)
+	timer.Sleep(ctx, settle)
 	wrd.callers.mark()
-	sleep(ctx, calm)
+	timer.Sleep(ctx, calm)
 	wrd.checkDrain(ctx)
 	wrd.checkVersions(ctx)
 	wrd.callers.stop()
@@ -169,7 +170,7 @@
 			return stop, err
 		}
 		stops = append(stops, prx.Close)
-		nod, err := newNode(wrd.options.Binary, wrd.options.Dir, fmt.Sprintf("n-%d", num), prx)
+		nod, err := newNode(wrd.options, fmt.Sprintf("n-%d", num), prx)
 		if err != nil {
 			return stop, err
 		}
@@ -217,7 +218,7 @@
 	ups.mut.Unlock()
 	wrd.publish(ups)
 	bound := time.Now().Add(drainBound)
-	sleep(ctx, drainBound+calm)
+	timer.Sleep(ctx, drainBound+calm)
 	if last := ups.Last(); last.After(bound) {
 		wrd.breaks("Drain: a request reached %s %s after the bound", ups.ID, last.Sub(bound))
 	}
@@ -227,7 +228,7 @@
 func (wrd *world) checkVersions(ctx context.Context) {
 	ver := wrd.version.Add(1)
 	wrd.store.Set("op", "config", mock.Config(ver))
-	sleep(ctx, drainBound)
+	timer.Sleep(ctx, drainBound)
 	for _, nod := range wrd.nodes {
 		if sta := wrd.status(nod, fmt.Sprintf("v%d", ver), "new-"+nod.name); sta != http.StatusOK {
 			wrd.breaks("Config: %s answers %d on a route of version %d", nod.name, sta, ver)
@@ -237,10 +238,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	select {
-	case <-time.After(dur):
-	case <-ctx.Done():
-	}
-}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/platform/mock"
 )
 
@@ -80,11 +81,11 @@
 		wrd.mut.Unlock()
 		if fin := stk.apply(wrd); fin != nil {
 			wrd.lasting.Go(func() {
-				sleep(ctx, hold)
+				timer.Sleep(ctx, hold)
 				fin()
 			})
 		}
-		sleep(ctx, pauseLeast+rand64(wrd, pauseMost-pauseLeast))
+		timer.Sleep(ctx, pauseLeast+rand64(wrd, pauseMost-pauseLeast))
 	}
 }
 
