--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -194,3 +194,19 @@
 		}
 	}
 }
+
+// BenchmarkChoose shows what a placement costs by the number of engines.
+func BenchmarkChoose(b *testing.B) {
+	for _, num := range []int{12, 140, 1000} {
+		b.Run(fmt.Sprintf("%d engines", num), func(b *testing.B) {
+			ben := newBench(num)
+			part := uint64(0)
+			for b.Loop() {
+				part++
+				_, tic, _ := ben.Choose(long(part%200), ben.instances, never)
+				tic.Begun()
+				tic.Done(place.Served)
+			}
+		})
+	}
+}
