--- a/internal/router/roster/roster.go
+++ b/internal/router/roster/roster.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,28 +52,6 @@
 	return (*ros.services.Load())[service]
 }
 
-// Takes reports whether an incarnation still takes new work.
-func (ros *Roster) Takes(ins router.Instance) bool {
-	_, fnd := slices.BinarySearchFunc(ros.Takers(ins.Service), ins, func(one, two router.Instance) int {
-		return strings.Compare(one.ID, two.ID)
-	})
-	if !fnd {
-		return false
-	}
-	ros.mut.Lock()
-	defer ros.mut.Unlock()
-	return ros.instances[ins.ID].Same(ins)
-}
-
-// Services returns how many instances of each service take new work.
-func (ros *Roster) Services() (nums map[string]int) {
-	nums = make(map[string]int)
-	for nam, inss := range *ros.services.Load() {
-		nums[nam] = len(inss)
-	}
-	return nums
-}
-
 // Apply takes changed records.
 func (ros *Roster) Apply(upd follow.Update) {
 	ros.mut.Lock()
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -47,9 +47,7 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
-	// Resumes is set when the caller continues a stream.
-	Resumes bool
-	Arrived time.Time
+	Arrived      time.Time
 	// Deadline is when the caller stops waiting; zero when the caller named none.
 	Deadline time.Time
 }
