--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -32,20 +32,13 @@
 }
 
 // newNode writes the settings of a node.
-func newNode(opt Options, name string, store *Proxy) (nod *node, err error) {
-	defer fault.Annotatef(&err, "prepare %s", name)
-	var adrs [3]string
-	for idx := range adrs {
-		// Each seed has a loopback address of its own, so that runs beside each other and outgoing connections take no port of it.
-		lis, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", opt.Seed/250%250, opt.Seed%250+1))
-		if err != nil {
-			return nil, err
-		}
-		adrs[idx] = lis.Addr().String()
-		if err := lis.Close(); err != nil {
-			return nil, err
-		}
+func newNode(opt Options, num int, store *Proxy) (nod *node, err error) {
+	defer fault.Annotatef(&err, "prepare node %d", num)
+	adrs, err := addresses(opt.Seed, num)
+	if err != nil {
+		return nil, err
 	}
+	name := fmt.Sprintf("n-%d", num)
 	nod = &node{
 		name: name, listen: adrs[0], binary: opt.Binary, store: store,
 		file: filepath.Join(opt.Dir, name+".yaml"), log: filepath.Join(opt.Dir, name+".log"),
@@ -68,6 +61,20 @@
 	return nod, os.WriteFile(nod.file, []byte(txt), 0o600)
 }
 
+// addresses returns three free addresses; each node of each seed has a loopback address of its own, so that other nodes, runs beside this one and outgoing connections take no port of it.
+func addresses(seed uint64, num int) (adrs [3]string, err error) {
+	for idx := range adrs {
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", num+1, seed/250%250, seed%250+1))
+		if err != nil {
+			return adrs, err
+		}
+		// Open until all are chosen, so that no port comes twice.
+		defer func() { _ = lis.Close() }()
+		adrs[idx] = lis.Addr().String()
+	}
+	return adrs, nil
+}
+
 // startAgain runs the process if the one that ended is still the newest.
 func (nod *node) startAgain(ended <-chan struct{}) (err error) {
 	nod.mut.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -170,7 +170,7 @@
 			return stop, err
 		}
 		stops = append(stops, prx.Close)
-		nod, err := newNode(wrd.options, fmt.Sprintf("n-%d", num), prx)
+		nod, err := newNode(wrd.options, num, prx)
 		if err != nil {
 			return stop, err
 		}
