--- a/internal/router/edge/front.go
+++ b/internal/router/edge/front.go
@@ -177,6 +177,7 @@
 	}
 	fro.log.Info("request done", "Request", job.Call.ID, "Route", job.Route.Name, "Workspace", job.Workspace,
 		"Tier", job.Tier, "Outcome", rep.Outcome, "Status", rep.Status, "Upstream", rep.Upstream, "Sends", rep.Sends,
+		"AheadTokens", rep.Ahead, "ReadTokens", rep.Read,
 		"FirstMs", rep.First.Milliseconds(), "TookMs", fro.timers.Now().Sub(job.Call.Arrived).Milliseconds(),
 		"TargetMs", job.Route.Target.Milliseconds(), "PauseMs", rep.Pause.Milliseconds(), "PauseTargetMs", job.Route.GapTarget.Milliseconds(), "Late", late, "Events", rep.Events, "Reason", rep.Reason, "Manifest", fro.Version())
 }
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -154,6 +154,9 @@
 
 // Ticket is a call's place at an upstream.
 type Ticket struct {
+	// Ahead is how many prompt tokens were to be read before the call, and Read how many of its own.
+	Ahead, Read int
+
 	load *load
 	now  func() time.Time
 	tier int
@@ -179,7 +182,8 @@
 	}
 	all := lod.own
 	all.add(lod.peers, 1)
-	tic.work = unread + all.Unread.ahead(tic.tier)
+	tic.Read, tic.Ahead = unread, all.Unread.ahead(tic.tier)
+	tic.work = tic.Read + tic.Ahead
 	lod.own.Unread[tic.tier] += unread
 	lod.own.Running++
 	lod.own.Fragile += tic.fragile
