--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -20,6 +20,8 @@
 	// retryLeast and retryMost bound the pause before a failed call is repeated.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = time.Second
+	// outageEcho is how long after an outage copies say so; records that lapsed in it are written again within two seconds.
+	outageEcho = 3 * time.Second
 	// relayedPause is how often a Follower whose changes come from peers looks whether they still do.
 	relayedPause = 250 * time.Millisecond
 )
@@ -28,7 +30,7 @@
 type Update struct {
 	// Changed holds the new and the deleted records.
 	Changed []router.Record
-	// Regained is set when the store answered for the first time after a failure.
+	// Regained is set when the store answered for the first time after a failure, here or at the peer that the changes come from.
 	Regained bool
 }
 
@@ -54,6 +56,8 @@
 	newest int64
 	// read is set once everything has been read.
 	read bool
+	// regained is when the store answered again after its last failure.
+	regained time.Time
 	// failing is when the store stopped answering; zero while it answers.
 	failing time.Time
 }
@@ -68,6 +72,7 @@
 	retry := retryLeast
 	for ctx.Err() == nil {
 		if fol.relayed() {
+			fol.rest()
 			pause(ctx, relayedPause)
 			continue
 		}
@@ -130,7 +135,7 @@
 func (fol *Follower) Copy() (chs router.Changes) {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
-	chs = router.Changes{Version: fol.version, Whole: true}
+	chs = router.Changes{Version: fol.version, Whole: true, AfterOutage: time.Since(fol.regained) < outageEcho}
 	for _, rec := range fol.records {
 		chs.Records = append(chs.Records, rec)
 	}
@@ -170,6 +175,17 @@
 	}
 }
 
+// rest leaves the store to peers; a failure of the own feed says nothing of the copy any more.
+func (fol *Follower) rest() {
+	fol.mut.Lock()
+	failed := !fol.failing.IsZero()
+	fol.failing = time.Time{}
+	fol.mut.Unlock()
+	if failed {
+		fol.options.Log.Info("store left to peers", "Kind", fol.options.Kind)
+	}
+}
+
 func (fol *Follower) forgetVersion() {
 	fol.mut.Lock()
 	fol.read = false
@@ -184,6 +200,11 @@
 	if own {
 		upd.Regained = !fol.failing.IsZero()
 		fol.failing = time.Time{}
+		if upd.Regained {
+			fol.regained = time.Now()
+		}
+	} else {
+		upd.Regained = chs.AfterOutage && len(upd.Changed) > 0
 	}
 	if own || chs.Whole {
 		fol.version = max(fol.version, chs.Version)
@@ -198,7 +219,7 @@
 		fol.options.Apply(upd)
 	}
 	fol.mut.Unlock()
-	if upd.Regained {
+	if own && upd.Regained {
 		fol.options.Log.Info("store regained", "Kind", fol.options.Kind, "Version", version)
 	}
 	return len(upd.Changed)
--- a/internal/router/follow/follow_test.go
+++ b/internal/router/follow/follow_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"log/slog"
 	"runtime"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +142,45 @@
 		})
 	}
 }
+
+// TestLeavingTheStoreToPeersEndsItsFailure has the own feed fail, and then peers bring the changes.
+func TestLeavingTheStoreToPeersEndsItsFailure(t *testing.T) {
+	src := stand.NewSource()
+	src.Set(router.Instances, "one", []byte("1"))
+	src.Fail(router.ErrUnavailable)
+	var relayed atomic.Bool
+	fol := follow.New(follow.Options{
+		Source:  src,
+		Kind:    router.Instances,
+		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Apply:   func(follow.Update) {},
+		Relayed: relayed.Load,
+	})
+	fol.Offer(router.Changes{Version: 1, Whole: true, Records: []router.Record{{Key: "one", Version: 1}}})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go fol.Run(ctx)
+	await := func(what string, met func() bool) {
+		for end := time.Now().Add(patience); !met(); runtime.Gosched() {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	await("the failure is not noticed", func() bool { return fol.Failing() > 0 })
+	relayed.Store(true)
+	await("the failure does not end", func() bool { return fol.Failing() == 0 })
+}
+
+func TestCopiesTellOfAnOutage(t *testing.T) {
+	var regained []bool
+	fol := follow.New(follow.Options{
+		Log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Apply: func(upd follow.Update) { regained = append(regained, upd.Regained) },
+	})
+	fol.Offer(router.Changes{Version: 1, Whole: true, Records: []router.Record{{Key: "one", Version: 1}}})
+	fol.Offer(router.Changes{Version: 2, Whole: true, AfterOutage: true})
+	if !slices.Equal(regained, []bool{false, true}) {
+		t.Errorf("updates after an outage: %v", regained)
+	}
+}
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -132,7 +132,7 @@
 	if rsp.StatusCode != http.StatusOK {
 		return 0, errors.Errorf("status %d", rsp.StatusCode)
 	}
-	chs := router.Changes{Version: msg.GetVersion(), Whole: true}
+	chs := router.Changes{Version: msg.GetVersion(), Whole: true, AfterOutage: msg.GetAfterOutage()}
 	for _, rec := range msg.GetRecords() {
 		chs.Records = append(chs.Records, router.Record{Key: rec.GetKey(), Value: rec.GetValue(), Version: rec.GetVersion()})
 	}
@@ -171,7 +171,7 @@
 	}
 	newest := cop.follower.Newest()
 	chs := cop.follower.Copy()
-	msg := &wire.Copy{Version: chs.Version}
+	msg := &wire.Copy{Version: chs.Version, AfterOutage: chs.AfterOutage}
 	for _, rec := range chs.Records {
 		msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version})
 	}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -198,8 +198,10 @@
 type Changes struct {
 	Version int64
 	// Whole is set when Records is everything that exists.
-	Whole   bool
-	Records []Record
+	Whole bool
+	// AfterOutage is set when the store answers again only since a moment ago.
+	AfterOutage bool
+	Records     []Record
 }
 
 // ErrCompacted reports that the store no longer has the history asked for.
