Send less to engines in a slow spell, seen by the pauses of own streams

The pauses between events by engine show why: about 19 ms usually, 48 ms for spells of 600 ms in which a neighbour slows the engine two and a half times, and 150 ms while a prompt is read, which a spell stretches to 350 ms. A spell shows in the next two events of any stream, load reports come too late for it.

Ruled out: late first events (33 of 330), prompts of other kinds at the same engine as the only cause (half of the late captions ran beside short ones).

Change: the pauses of own streams give each engine's usual pauses, with and without reading, and how far the present is from them. Placement charges a slow engine to calls with short pauses, to what reading there does to running ones, and in the estimated wait.

Only own streams show spells; peers do not tell them yet.

--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -39,13 +39,17 @@
 	lateCentre    = 0.8
 	// defaultTarget is the target where the route has none.
 	defaultTarget = time.Second
-	// readingPause is about the time between two events of a stream while its engine reads a prompt.
-	readingPause = 140 * time.Millisecond
 	// pauseCost is what an engine that reads all the time costs a call that is certain to miss its pause then, in late answers.
 	pauseCost = 1.6
 	// harmCost is the share of the running calls that reading a prompt for harmReading or longer makes late.
 	harmCost    = 0.2
 	harmReading = 100 * time.Millisecond
+	// slowCost is what an engine that takes twice its usual time costs a call that misses its pause while prompts are read there, in late answers.
+	slowCost = 0.3
+	// slowHarm is by how much such an engine multiplies what reading does to the running calls, less 1: pauses that reading stretches miss most targets then.
+	slowHarm = 2
+	// slowLeft is the expected rest of a slow spell; reading that takes longer goes on at the usual speed.
+	slowLeft = 300 * time.Millisecond
 	// briefForeign is what an engine for short prompts costs a long one, and the reverse, in late answers; longForeign is the same between the kinds of long ones.
 	briefForeign = 0.3
 	longForeign  = 0.3
@@ -134,7 +138,7 @@
 		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(min(rank, rankMost))
 		cost += runningCost*float64(vew.Running) + failureCost*vew.failures
 		cost += brd.distance(can.Instance, domainCost, regionCost)
-		cost += pauseCost*wnt.fragility()*vew.reading + vew.harm(wnt.Prompt-kept)
+		cost += wnt.fragility()*(pauseCost*vew.reading+slowCost*(vew.slow-1)) + vew.harm(wnt.Prompt-kept)
 		cost += can.foreign
 		if cost < least {
 			best, read, least = can.Instance, wnt.Prompt-kept, cost
@@ -154,7 +158,7 @@
 // harm returns what reading a prompt costs the calls that run at the engine, in late answers.
 func (vew view) harm(read int) float64 {
 	took := float64(read) / vew.rate
-	return harmCost * vew.Fragile * min(1, took/float64(harmReading.Milliseconds()))
+	return harmCost * (1 + slowHarm*(vew.slow-1)) * vew.Fragile * min(1, took/float64(harmReading.Milliseconds()))
 }
 
 // late returns the cost of the estimated time to the first event, in late answers.
@@ -164,6 +168,7 @@
 		target = defaultTarget
 	}
 	wait := float64(vew.Unread.ahead(wnt.Tier)+read) / vew.rate
+	wait += min(wait*(vew.slow-1), float64(slowLeft.Milliseconds())*(1-1/vew.slow))
 	rel := wait / float64(target.Milliseconds())
 	return waitSlope*rel + 1/(1+math.Exp(-lateSteepness*(rel-lateCentre)))
 }
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -92,6 +92,7 @@
 	// reading is the recent share of time in which the engine had something to read, as of looked.
 	reading float64
 	looked  time.Time
+	pace    pace
 }
 
 // Result is how a call at an upstream ended.
@@ -119,6 +120,8 @@
 	failures float64
 	paused   bool
 	reading  float64
+	// slow is how many times longer than usual the engine's steps take now; at least 1.
+	slow float64
 }
 
 func (lod *load) view(now time.Time) (vew view) {
@@ -136,6 +139,7 @@
 	}
 	lod.look(now, vew.Unread.total() > 0)
 	vew.reading = lod.reading
+	vew.slow = max(1, lod.pace.at(now))
 	return vew
 }
 
@@ -168,6 +172,9 @@
 	// fragile is the call's share of the engine's fragility.
 	fragile float64
 	tried   bool
+	// last is when the last event came, and waiting what the engine had to read then, in tokens.
+	last    time.Time
+	waiting int
 	once    sync.Once
 }
 
@@ -211,6 +218,21 @@
 	lod.rate += rateWeight * (seen - lod.rate)
 }
 
+// Event reports an event of the answer; its pause after the one before shows how fast the engine is.
+func (tic *Ticket) Event() {
+	tic.Begun()
+	lod, now := tic.load, tic.now()
+	lod.mut.Lock()
+	defer lod.mut.Unlock()
+	all := lod.own
+	all.add(lod.peers, 1)
+	unread := all.Unread.total()
+	if !tic.last.IsZero() {
+		lod.pace.observe(now.Sub(tic.last), max(tic.waiting, unread), now)
+	}
+	tic.last, tic.waiting = now, unread
+}
+
 // Done gives the place back; further calls do nothing.
 func (tic *Ticket) Done(res Result) {
 	tic.once.Do(func() { tic.load.leave(tic, res) })
--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -178,6 +178,40 @@
 	}
 }
 
+// TestSlowSpellIsAvoided has a neighbour slow one engine down; calls with short pauses go elsewhere for as long as the spell may last.
+func TestSlowSpellIsAvoided(t *testing.T) {
+	const usual, spell = 20 * time.Millisecond, 50 * time.Millisecond
+	cases := map[string]struct {
+		pause time.Duration
+		rest  time.Duration
+		away  bool
+	}{
+		"usual pauses":          {pause: usual},
+		"long pauses":           {pause: spell, away: true},
+		"a while after the end": {pause: spell, rest: 2 * time.Second},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			ben := newBench()
+			home, tic := ben.choose(t, short())
+			tic.Event()
+			for range 20 {
+				ben.timers.Advance(usual)
+				tic.Event()
+			}
+			for range 5 {
+				ben.timers.Advance(cas.pause)
+				tic.Event()
+			}
+			tic.Done(place.Served)
+			ben.timers.Advance(cas.rest)
+			if ins, _ := ben.choose(t, short()); (ins.ID != home.ID) != cas.away {
+				t.Errorf("the call went to %s, the engine is %s", ins.ID, home.ID)
+			}
+		})
+	}
+}
+
 func TestLastUpstreamIsUsedThoughPaused(t *testing.T) {
 	ben := newBench(1)
 	_, tic := ben.choose(t, short())
--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -97,7 +97,7 @@
 		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+num]
 		if end := lastEnd(buf); end > 0 {
-			tic.Begun()
+			tic.Event()
 			if werr := cou.relay(buf[:end], rsp); werr != nil {
 				con.Close()
 				return cou.lost(ctx, "caller does not read", ins, werr)
