Copy shared parts from an engine that has read them

Change: engines can copy KV cache from each other, at a quarter of the price of reading it again and without the pauses that reading puts into running streams. A call that leaves the engine with its shared parts names the engine to copy from, and placement charges the bytes in place of the tokens. Only engines that have read a part serve as a source; nodes tell each other when that is so.

--- a/internal/router/edge/load.go
+++ b/internal/router/edge/load.go
@@ -56,7 +56,7 @@
 		dig.Strikes = append(dig.Strikes, &wire.CrashStrike{Request: stk.Digest, Instance: stk.Upstream})
 	}
 	for _, plc := range lov.board.Placed() {
-		dig.Placements = append(dig.Placements, &wire.Placement{Prefix: plc.Prefix, Instance: plc.Instance})
+		dig.Placements = append(dig.Placements, &wire.Placement{Prefix: plc.Prefix, Instance: plc.Instance, Read: plc.Read})
 	}
 }
 
@@ -79,7 +79,7 @@
 	}
 	pls := make([]place.Placement, 0, len(dig.GetPlacements()))
 	for _, plc := range dig.GetPlacements() {
-		pls = append(pls, place.Placement{Prefix: plc.GetPrefix(), Instance: plc.GetInstance()})
+		pls = append(pls, place.Placement{Prefix: plc.GetPrefix(), Instance: plc.GetInstance(), Read: plc.GetRead()})
 	}
 	lov.board.PeerPlaced(pls)
 }
--- a/internal/router/place/board.go
+++ b/internal/router/place/board.go
@@ -149,6 +149,8 @@
 	Target time.Duration
 	// Gap is the longest pause between events that meets the objective; zero means that there is none.
 	Gap time.Duration
+	// Engine describes the engines; nil when nothing is known of them.
+	Engine *router.EngineSpec
 }
 
 // Prefix is a beginning of a prompt.
--- a/internal/router/place/cache.go
+++ b/internal/router/place/cache.go
@@ -18,30 +18,40 @@
 type Placement struct {
 	Prefix   uint64
 	Instance uint64
+	// Read is set once the incarnation has read the prefix.
+	Read bool
+}
+
+// use is what is known of a prefix at an engine.
+type use struct {
+	last time.Time
+	// read is set once the engine has read the prefix.
+	read bool
 }
 
 // caches remembers which engines have read which prefixes.
 type caches struct {
 	mut    sync.Mutex
-	used   map[uint64]map[uint64]time.Time
+	used   map[uint64]map[uint64]use
 	placed []Placement
 	notes  int
 }
 
 func newCaches() *caches {
-	return &caches{used: make(map[uint64]map[uint64]time.Time)}
+	return &caches{used: make(map[uint64]map[uint64]use)}
 }
 
 // note records a use of a prefix.
 func (cas *caches) note(plc Placement, now time.Time) {
 	cas.mut.Lock()
 	defer cas.mut.Unlock()
-	use := cas.used[plc.Prefix]
-	if use == nil {
-		use = make(map[uint64]time.Time)
-		cas.used[plc.Prefix] = use
+	uses := cas.used[plc.Prefix]
+	if uses == nil {
+		uses = make(map[uint64]use)
+		cas.used[plc.Prefix] = uses
 	}
-	use[plc.Instance] = now
+	old := uses[plc.Instance]
+	uses[plc.Instance] = use{last: now, read: plc.Read || old.read && now.Sub(old.last) < cacheLife}
 	cas.notes++
 	if cas.notes >= cacheSweep {
 		cas.notes = 0
@@ -49,10 +59,10 @@
 	}
 }
 
-// place records a use by this node, which peers are told.
-func (cas *caches) place(chn []Prefix, instance uint64, now time.Time) {
+// place records a use by this node, which peers are told; read is set once the engine has read the prefixes.
+func (cas *caches) place(chn []Prefix, instance uint64, read bool, now time.Time) {
 	for _, pfx := range chn {
-		plc := Placement{Prefix: pfx.Hash, Instance: instance}
+		plc := Placement{Prefix: pfx.Hash, Instance: instance, Read: read}
 		cas.note(plc, now)
 		cas.mut.Lock()
 		if len(cas.placed) < placedMost {
@@ -62,16 +72,16 @@
 	}
 }
 
-// holders returns for each prefix the engines that hold it with the time of the last use.
-func (cas *caches) holders(chn []Prefix, now time.Time) (held []map[uint64]time.Time) {
+// holders returns for each prefix the engines that hold it or will have read it before a call that comes now.
+func (cas *caches) holders(chn []Prefix, now time.Time) (held []map[uint64]use) {
 	cas.mut.Lock()
 	defer cas.mut.Unlock()
-	held = make([]map[uint64]time.Time, len(chn))
+	held = make([]map[uint64]use, len(chn))
 	for num, pfx := range chn {
-		held[num] = make(map[uint64]time.Time, len(cas.used[pfx.Hash]))
-		for ins, use := range cas.used[pfx.Hash] {
-			if now.Sub(use) < cacheLife {
-				held[num][ins] = use
+		held[num] = make(map[uint64]use, len(cas.used[pfx.Hash]))
+		for ins, one := range cas.used[pfx.Hash] {
+			if now.Sub(one.last) < cacheLife {
+				held[num][ins] = one
 			}
 		}
 	}
@@ -87,13 +97,13 @@
 }
 
 func (cas *caches) sweep(now time.Time) {
-	for pfx, use := range cas.used {
-		for ins, last := range use {
-			if now.Sub(last) >= cacheLife {
-				delete(use, ins)
+	for pfx, uses := range cas.used {
+		for ins, one := range uses {
+			if now.Sub(one.last) >= cacheLife {
+				delete(uses, ins)
 			}
 		}
-		if len(use) == 0 {
+		if len(uses) == 0 {
 			delete(cas.used, pfx)
 		}
 	}
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -18,7 +18,11 @@
 	briefShare   = 0.25
 	fragileShare = 0.25
 	// rereadTokens is the number of shared tokens whose reading again costs as much as a late answer.
-	rereadTokens = 20000
+	rereadTokens = 12000
+	// copyLeast is the number of tokens from which copying KV cache between engines is worth a transfer.
+	copyLeast = 1000
+	// copyBytes is how much copied KV cache costs as much as a late answer, in bytes.
+	copyBytes = 14e9
 	// rereadWindow is how long after its last use elsewhere reading a prefix again counts as waste.
 	rereadWindow = 10 * time.Second
 	// rankCost is what a step down a prefix's ranking of engines costs, in late answers; it lets nodes agree on where a prefix is read first.
@@ -74,10 +78,26 @@
 		ins = brd.plain(cans)
 		return ins, brd.load(ins).enter(0, rank(wnt.Tier, false), wnt, brd.options.Timers.Now), true
 	}
-	ins, read, late := brd.engine(wnt, cans)
-	lod := brd.load(ins)
-	brd.caches.place(wnt.Chain, lod.id, brd.options.Timers.Now())
-	return ins, lod.enter(read, rank(wnt.Tier, late), wnt, brd.options.Timers.Now), true
+	off := brd.engine(wnt, cans)
+	lod := brd.load(off.Instance)
+	now := brd.options.Timers.Now
+	brd.caches.place(wnt.Chain, lod.id, false, now())
+	tic = lod.enter(off.read, rank(wnt.Tier, off.late), wnt, now)
+	tic.Source = off.source
+	tic.noteRead = func() { brd.caches.place(wnt.Chain, lod.id, true, now()) }
+	return off.Instance, tic, true
+}
+
+// offer is what an engine can do for a call.
+type offer struct {
+	router.Instance
+
+	// read is how many tokens the engine has to read.
+	read int
+	// source is the address of the engine from which it copies shared parts; empty for none.
+	source string
+	// late is set when the first event will miss its target.
+	late bool
 }
 
 // usable leaves out instances that are paused or to be avoided, unless nothing else is left.
@@ -113,41 +133,68 @@
 	return best
 }
 
-// engine returns the instance at which the call costs least, how many tokens it has to read there, and whether it will be late there.
-func (brd *Board) engine(wnt Want, cans []router.Instance) (best router.Instance, read int, late bool) {
+// engine returns the instance at which the call costs least.
+func (brd *Board) engine(wnt Want, cans []router.Instance) (best offer) {
 	now := brd.options.Timers.Now()
 	held := brd.caches.holders(wnt.Chain, now)
 	home, warm := uint64(0), 0
 	for num, pfx := range wnt.Chain {
 		home = pfx.Hash
-		for _, use := range held[num] {
-			if now.Sub(use) < rereadWindow {
+		for _, one := range held[num] {
+			if now.Sub(one.last) < rereadWindow {
 				warm = pfx.Tokens
 			}
 		}
 	}
+	src, most := brd.source(wnt, held, cans)
 	least := math.Inf(1)
 	for step, can := range brd.order(wnt, home, cans) {
 		lod := brd.load(can.Instance)
-		kept := 0
-		for num, pfx := range wnt.Chain {
-			if _, fnd := held[num][lod.id]; fnd {
-				kept = pfx.Tokens
-			}
+		kept := wnt.kept(held, lod.id)
+		off := offer{Instance: can.Instance, read: wnt.Prompt - kept}
+		cost := float64(max(0, warm-kept)) / rereadTokens
+		if most-kept >= copyLeast {
+			off.read, off.source = wnt.Prompt-most, src.Address
+			cost = float64(most-kept) * wnt.Engine.TokenBytes / copyBytes
 		}
 		vew := lod.view(now)
-		cost := vew.late(wnt, wnt.Prompt-kept)
-		cost += float64(max(0, warm-kept))/rereadTokens + rankCost*float64(min(step, rankMost))
+		cost += vew.late(wnt, off.read) + rankCost*float64(min(step, rankMost))
 		cost += runningCost*float64(vew.Running) + failureCost*vew.failures
 		cost += brd.distance(can.Instance, domainCost, regionCost)
-		cost += wnt.fragility()*(pauseCost*vew.reading+slowCost*(vew.slow-1)) + vew.harm(wnt.Prompt-kept)
+		cost += wnt.fragility()*(pauseCost*vew.reading+slowCost*(vew.slow-1)) + vew.harm(off.read)
 		cost += can.foreign
 		if cost < least {
-			best, read, least = can.Instance, wnt.Prompt-kept, cost
-			late = vew.wait(wnt, read) > lateFrom
+			best, least = off, cost
+			best.late = vew.wait(wnt, off.read) > lateFrom
+		}
+	}
+	best.read = max(0, best.read)
+	return best
+}
+
+// kept returns how many tokens of the shared parts an engine holds.
+func (wnt Want) kept(held []map[uint64]use, id uint64) (tokens int) {
+	for num, pfx := range wnt.Chain {
+		if _, fnd := held[num][id]; fnd {
+			tokens = pfx.Tokens
+		}
+	}
+	return tokens
+}
+
+// source returns the engine from which most of a call's shared parts can be copied, and how many tokens those have.
+func (brd *Board) source(wnt Want, held []map[uint64]use, cans []router.Instance) (src router.Instance, most int) {
+	if wnt.Engine == nil || wnt.Engine.CopySpeed <= 0 {
+		return src, 0
+	}
+	for num := len(held) - 1; num >= 0; num-- {
+		for _, can := range cans {
+			if held[num][brd.load(can).id].read {
+				return can, wnt.Chain[num].Tokens
+			}
 		}
 	}
-	return best, max(0, read), late
+	return src, 0
 }
 
 // fragility returns the chance that a call misses its pause while its engine reads a prompt.
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -174,9 +174,13 @@
 	Ahead, Read int
 	// Rank is the call's place in the order in which the engine reads prompts; 0 is read first.
 	Rank int
+	// Source is the address of an engine from which shared parts are copied; empty for none.
+	Source string
 
-	load *load
-	now  func() time.Time
+	// noteRead tells that the engine has read the shared parts.
+	noteRead func()
+	load     *load
+	now      func() time.Time
 	// unread is what the engine still has to read of the call.
 	unread int
 	// work is what the engine had to read up to the call's first event, when it was sent.
@@ -233,6 +237,9 @@
 
 // Event reports an event of the answer; its pause after the one before shows how fast the engine is.
 func (tic *Ticket) Event() {
+	if tic.last.IsZero() && tic.noteRead != nil {
+		tic.noteRead()
+	}
 	tic.Begun()
 	lod, now := tic.load, tic.now()
 	lod.mut.Lock()
--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -37,7 +37,7 @@
 		num = nums[0]
 	}
 	for idx := range num {
-		ben.instances = append(ben.instances, router.Instance{ID: fmt.Sprintf("e%02d", idx), Service: "engines", FailureDomain: "near"})
+		ben.instances = append(ben.instances, router.Instance{ID: fmt.Sprintf("e%02d", idx), Service: "engines", Address: fmt.Sprintf("10.0.0.%d:80", idx+1), FailureDomain: "near"})
 	}
 	return ben
 }
@@ -210,6 +210,47 @@
 	}
 }
 
+// TestHotPartIsCopied has more calls begin with one part than its engine can read in time; the others copy the part instead of reading it.
+func TestHotPartIsCopied(t *testing.T) {
+	const shared = 13000
+	cases := map[string]struct {
+		engine *router.EngineSpec
+		read   bool
+		copies bool
+	}{
+		"engines copy, part read":     {engine: &router.EngineSpec{TokenBytes: 300e3, CopySpeed: 60e9}, read: true, copies: true},
+		"engines copy, part not read": {engine: &router.EngineSpec{TokenBytes: 300e3, CopySpeed: 60e9}},
+		"engines do not copy":         {engine: &router.EngineSpec{}, read: true},
+		"engines are not described":   {read: true},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			ben := newBench()
+			wnt := long(7)
+			wnt.Engine = cas.engine
+			home, tic := ben.choose(t, wnt)
+			if cas.read {
+				tic.Event()
+				tic.Done(place.Served)
+			}
+			copies := 0
+			for range 60 {
+				ins, tic := ben.choose(t, wnt)
+				if tic.Source == "" {
+					continue
+				}
+				copies++
+				if tic.Source != home.Address || ins.ID == home.ID || tic.Read != wnt.Prompt-shared {
+					t.Errorf("%s reads %d tokens and copies from %s; the part is at %s", ins.ID, tic.Read, tic.Source, home.Address)
+				}
+			}
+			if (copies > 0) != cas.copies {
+				t.Errorf("%d of 60 calls copied the part", copies)
+			}
+		})
+	}
+}
+
 // TestSlowSpellIsAvoided has a neighbour slow one engine down; calls with short pauses go elsewhere for as long as the spell may last.
 func TestSlowSpellIsAvoided(t *testing.T) {
 	const usual, spell = 20 * time.Millisecond, 50 * time.Millisecond
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -31,9 +31,11 @@
 
 // Job is a call with everything that was decided about it before it is sent.
 type Job struct {
-	Call      *router.Call
-	Route     *router.Route
-	Service   string
+	Call    *router.Call
+	Route   *router.Route
+	Service string
+	// Engine describes the service's model engines; nil for plain services.
+	Engine    *router.EngineSpec
 	Workspace string
 	Tier      int
 }
@@ -264,6 +266,7 @@
 		Tier:    cou.job.Tier,
 		Target:  cou.job.Route.Target,
 		Gap:     cou.job.Route.GapTarget,
+		Engine:  cou.job.Engine,
 	}
 }
 
@@ -282,6 +285,7 @@
 		Instance:  ins,
 		Workspace: cou.job.Workspace,
 		Rank:      tic.Rank,
+		Source:    tic.Source,
 		Left:      max(time.Millisecond, cou.deadline().Sub(opt.Timers.Now())),
 		After:     cou.lastEvent,
 	})
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -94,6 +94,10 @@
 	Slots int
 	// CacheTokens is the number of tokens that fit into an engine's KV cache.
 	CacheTokens int
+	// TokenBytes is the size of a token in the KV cache, in bytes.
+	TokenBytes float64
+	// CopySpeed is how fast an engine copies KV cache to another, in bytes a second; zero means that it cannot.
+	CopySpeed float64
 }
 
 // ServiceSpec is what a manifest says of a service.
@@ -145,6 +149,8 @@
 	Rank int
 	// Left is how long the upstream may work.
 	Left time.Duration
+	// Source is the address of an engine from which the KV cache of the prompt's shared parts is copied; empty for none.
+	Source string
 	// After is the id of the last event received, when a stream is continued.
 	After string
 }
