Tell peers of slow spells, and bound the less urgent work that a call waits for

Cause: a slow spell shows only to nodes with a stream at the engine; with 59 nodes before 140 engines that is rarely the one that chooses. And an engine's backlog of later ranks counted by a third however long it was, although an engine finishes only the prompt that it has begun.

Change: digests carry how slow an engine was in the last 150 ms, and a node without events of its own believes them. The part of later ranks is bounded by 8,000 tokens.

--- a/internal/router/edge/front.go
+++ b/internal/router/edge/front.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -176,9 +177,11 @@
 		fro.meter.Event("line_left_out")
 		return
 	}
-	fro.log.Info("request done", "Request", job.Call.ID, "Route", job.Route.Name, "Workspace", job.Workspace,
-		"Tier", job.Tier, "Outcome", rep.Outcome, "Status", rep.Status, "Upstream", rep.Upstream, "Sends", rep.Sends,
-		"AheadTokens", rep.Ahead, "ReadTokens", rep.Read,
-		"FirstMs", rep.First.Milliseconds(), "TookMs", fro.timers.Now().Sub(job.Call.Arrived).Milliseconds(),
-		"TargetMs", job.Route.Target.Milliseconds(), "PauseMs", rep.Pause.Milliseconds(), "PauseTargetMs", job.Route.GapTarget.Milliseconds(), "Late", late, "Events", rep.Events, "Reason", rep.Reason, "Manifest", fro.Version())
+	est := rep.Estimate
+	fro.log.Info("request done", "Request", job.Call.ID, "Route", job.Route.Name, "Workspace", job.Workspace, "Tier", job.Tier,
+		"Outcome", rep.Outcome, "Status", rep.Status, "Upstream", rep.Upstream, "Sends", rep.Sends, "Reason", rep.Reason,
+		"AheadTokens", est.Ahead, "ReadTokens", est.Read, "Rank", est.Rank, "CopiedFrom", est.Source, "Slow", math.Round(10*est.Slow)/10,
+		"FirstMs", rep.First.Milliseconds(), "TargetMs", job.Route.Target.Milliseconds(),
+		"PauseMs", rep.Pause.Milliseconds(), "PauseTargetMs", job.Route.GapTarget.Milliseconds(),
+		"TookMs", fro.timers.Now().Sub(job.Call.Arrived).Milliseconds(), "Late", late, "Events", rep.Events, "Manifest", fro.Version())
 }
--- a/internal/router/edge/load.go
+++ b/internal/router/edge/load.go
@@ -46,7 +46,12 @@
 // Describe adds this node's load to a digest.
 func (lov *loadView) Describe(dig *wire.Digest) {
 	for id, inf := range lov.board.Own() {
-		lod := &wire.InstanceLoad{Instance: id, Running: uint32(max(0, inf.Running)), Fragile: float32(inf.Fragile)}
+		lod := &wire.InstanceLoad{
+			Instance: id,
+			Running:  uint32(max(0, inf.Running)),
+			Fragile:  float32(inf.Fragile),
+			Slow:     float32(lov.board.Slow(id)),
+		}
 		for _, num := range inf.Unread {
 			lod.Unread = append(lod.Unread, uint32(max(0, num)))
 		}
@@ -71,6 +76,9 @@
 			}
 		}
 		infs[lod.GetInstance()] = inf
+		if slo := lod.GetSlow(); slo > 0 {
+			lov.board.PeerSlow(lod.GetInstance(), float64(slo))
+		}
 	}
 	lov.board.Peer(dig.GetNode(), infs)
 	for _, stk := range dig.GetStrikes() {
--- a/internal/router/place/board.go
+++ b/internal/router/place/board.go
@@ -93,6 +93,32 @@
 	return infs
 }
 
+// Slow returns how many times longer than usual an incarnation's steps took just now, named by the hash of its key; zero when this node has not seen any.
+func (brd *Board) Slow(id uint64) (slow float64) {
+	brd.mut.Lock()
+	lod := brd.byID[id]
+	brd.mut.Unlock()
+	if lod == nil {
+		return 0
+	}
+	lod.mut.Lock()
+	defer lod.mut.Unlock()
+	return lod.pace.fresh(brd.options.Timers.Now())
+}
+
+// PeerSlow takes what a peer saw of an incarnation's steps just now, unless this node sees them itself.
+func (brd *Board) PeerSlow(id uint64, slow float64) {
+	brd.mut.Lock()
+	lod := brd.byID[id]
+	brd.mut.Unlock()
+	if lod == nil {
+		return
+	}
+	lod.mut.Lock()
+	defer lod.mut.Unlock()
+	lod.pace.learn(slow, brd.options.Timers.Now())
+}
+
 // Peer replaces what a peer has in flight; an empty map forgets the peer.
 func (brd *Board) Peer(name string, infs map[uint64]InFlight) {
 	brd.mut.Lock()
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -46,15 +46,15 @@
 
 // ahead returns how much is read before a call of a rank.
 func (unr Unread) ahead(rank int) (sum int) {
+	later := 0
 	for num, val := range unr {
 		if num <= rank {
 			sum += val
 		} else {
-			// An engine finishes what it has begun of later ones.
-			sum += val / lowerRankDivisor
+			later += val
 		}
 	}
-	return sum
+	return sum + min(later/lowerRankDivisor, begunMost)
 }
 
 // total returns all that is unread.
@@ -65,8 +65,12 @@
 	return sum
 }
 
-// lowerRankDivisor is the part of the work of later ranks that a call waits for.
-const lowerRankDivisor = 3
+const (
+	// lowerRankDivisor is the part of the work of later ranks that a call waits for, because an engine finishes the prompt that it has begun.
+	lowerRankDivisor = 3
+	// begunMost bounds that part, in tokens: half of a long prompt.
+	begunMost = 8000
+)
 
 // InFlight is the work at one incarnation.
 type InFlight struct {
@@ -107,23 +111,6 @@
 	pace    pace
 }
 
-// Result is how a call at an upstream ended.
-type Result int
-
-// The values of Result.
-const (
-	// Served means that the upstream answered.
-	Served Result = iota
-	// Failed means that the upstream answered with an error or broke off.
-	Failed
-	// Unreachable means that no connection was obtained.
-	Unreachable
-	// Full means that the upstream rejected the call unrun.
-	Full
-	// Left means that the call ended for reasons that say nothing of the upstream.
-	Left
-)
-
 // view is a consistent copy of a load.
 type view struct {
 	InFlight
@@ -168,45 +155,18 @@
 	}
 }
 
-// Ticket is a call's place at an upstream.
-type Ticket struct {
-	// Ahead is how many prompt tokens were to be read before the call, and Read how many of its own.
-	Ahead, Read int
-	// Rank is the call's place in the order in which the engine reads prompts; 0 is read first.
-	Rank int
-	// Source is the address of an engine from which shared parts are copied; empty for none.
-	Source string
-
-	// noteRead tells that the engine has read the shared parts.
-	noteRead func()
-	load     *load
-	now      func() time.Time
-	// unread is what the engine still has to read of the call.
-	unread int
-	// work is what the engine had to read up to the call's first event, when it was sent.
-	work int
-	sent time.Time
-	// fragile is the call's share of the engine's fragility.
-	fragile float64
-	tried   bool
-	// last is when the last event came, and waiting what the engine had to read then, in tokens.
-	last    time.Time
-	waiting int
-	once    sync.Once
-}
-
 // enter books a call that makes the engine read a number of tokens.
 func (lod *load) enter(unread, rank int, wnt Want, now func() time.Time) *Ticket {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	tic := &Ticket{load: lod, now: now, Rank: rank, unread: unread, sent: now(), fragile: wnt.fragility()}
+	tic := &Ticket{load: lod, now: now, unread: unread, sent: now(), fragile: wnt.fragility()}
 	if lod.streak > 0 && !lod.until.IsZero() {
 		lod.trying = true
 		tic.tried = true
 	}
 	all := lod.own
 	all.add(lod.peers, 1)
-	tic.Read, tic.Ahead = unread, all.Unread.ahead(tic.Rank)
+	tic.Estimate = Estimate{Ahead: all.Unread.ahead(rank), Read: unread, Rank: rank, Slow: max(1, lod.pace.at(tic.sent))}
 	tic.work = tic.Read + tic.Ahead
 	lod.own.Unread[tic.Rank] += unread
 	lod.own.Running++
@@ -214,50 +174,6 @@
 	return tic
 }
 
-// Begun reports the first event, after which the prompt has been read; further calls do nothing.
-func (tic *Ticket) Begun() {
-	lod := tic.load
-	lod.mut.Lock()
-	defer lod.mut.Unlock()
-	if tic.unread == 0 {
-		return
-	}
-	lod.own.Unread[tic.Rank] -= tic.unread
-	tic.unread = 0
-	took := float64(tic.now().Sub(tic.sent).Microseconds()) / 1000
-	if tic.work < rateTokens || took <= 0 {
-		return
-	}
-	seen := min(max(float64(tic.work)/took, rateLeast), rateMost)
-	if lod.rate == 0 {
-		lod.rate = rateGuess
-	}
-	lod.rate += rateWeight * (seen - lod.rate)
-}
-
-// Event reports an event of the answer; its pause after the one before shows how fast the engine is.
-func (tic *Ticket) Event() {
-	if tic.last.IsZero() && tic.noteRead != nil {
-		tic.noteRead()
-	}
-	tic.Begun()
-	lod, now := tic.load, tic.now()
-	lod.mut.Lock()
-	defer lod.mut.Unlock()
-	all := lod.own
-	all.add(lod.peers, 1)
-	unread := all.Unread.total()
-	if !tic.last.IsZero() {
-		lod.pace.observe(now.Sub(tic.last), max(tic.waiting, unread), now)
-	}
-	tic.last, tic.waiting = now, unread
-}
-
-// Done gives the place back; further calls do nothing.
-func (tic *Ticket) Done(res Result) {
-	tic.once.Do(func() { tic.load.leave(tic, res) })
-}
-
 func (lod *load) leave(tic *Ticket, res Result) {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
--- a/internal/router/place/pace.go
+++ b/internal/router/place/pace.go
@@ -14,6 +14,8 @@
 	paceHalfLife = 60 * time.Millisecond
 	// spellHalfLife is the time in which half of the slow spells end that no event shows any more; spells last about 600 ms.
 	spellHalfLife = 300 * time.Millisecond
+	// freshWithin is how old an event may be to show an engine's present pace; a few events of a stream.
+	freshWithin = 150 * time.Millisecond
 	// slowMost bounds what a single pause can make of an engine's slowness.
 	slowMost = 4.0
 	// usualWeight is the weight of a pause above the usual ones in these, and usualFall that of one below, which correct an estimate from a slow spell.
@@ -32,6 +34,8 @@
 	// slow is how many times longer than usual the pauses were lately, as of seen.
 	slow float64
 	seen time.Time
+	// told is set when a peer saw the slowness and not this node.
+	told bool
 }
 
 // observe takes a pause between two events of a stream; unread is the work that waited meanwhile, in tokens.
@@ -49,7 +53,7 @@
 	// Streams of one engine have their events at the same moments; only the first of them says something new.
 	keep := math.Exp2(-min(now.Sub(pac.seen), gap).Seconds() / paceHalfLife.Seconds())
 	pac.slow = keep*pac.at(now) + (1-keep)*min(ratio, slowMost)
-	pac.seen = now
+	pac.seen, pac.told = now, false
 	if ratio < bunchedShare {
 		return
 	}
@@ -66,6 +70,21 @@
 	}
 }
 
+// fresh returns the slowness that own streams show now; zero when none had an event just now.
+func (pac *pace) fresh(now time.Time) (slow float64) {
+	if pac.told || now.Sub(pac.seen) > freshWithin {
+		return 0
+	}
+	return pac.slow
+}
+
+// learn takes the slowness that a peer's streams show, unless own ones show it.
+func (pac *pace) learn(slow float64, now time.Time) {
+	if pac.fresh(now) == 0 {
+		pac.slow, pac.seen, pac.told = min(slow, slowMost), now, true
+	}
+}
+
 // at returns how many times longer than usual an engine's steps are expected to take now.
 func (pac *pace) at(now time.Time) float64 {
 	if pac.seen.IsZero() {
--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -210,6 +210,35 @@
 	}
 }
 
+// TestPeersSeeSlowSpell has a peer's streams show a slow spell of an engine at which this node has none.
+func TestPeersSeeSlowSpell(t *testing.T) {
+	ben, peer := newBench(), newBench()
+	home, tic := peer.choose(t, short())
+	ben.choose(t, long(7))
+	for range 20 {
+		peer.timers.Advance(20 * time.Millisecond)
+		tic.Event()
+	}
+	for range 5 {
+		peer.timers.Advance(50 * time.Millisecond)
+		tic.Event()
+	}
+	if ins, tic := ben.choose(t, short()); ins.ID != home.ID {
+		t.Fatalf("nodes disagree: %s and %s", ins.ID, home.ID)
+	} else {
+		tic.Done(place.Served)
+	}
+	for id := range peer.Own() {
+		if peer.Slow(id) < 1.5 {
+			t.Errorf("the peer saw a slowness of %.2f", peer.Slow(id))
+		}
+		ben.PeerSlow(id, peer.Slow(id))
+	}
+	if ins, _ := ben.choose(t, short()); ins.ID == home.ID {
+		t.Errorf("the call went to %s, which a peer sees slow", ins.ID)
+	}
+}
+
 // TestHotPartIsCopied has more calls begin with one part than its engine can read in time; the others copy the part instead of reading it.
 func TestHotPartIsCopied(t *testing.T) {
 	const shared = 13000
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -52,8 +52,8 @@
 	First time.Duration
 	// Events is the number of events relayed.
 	Events int
-	// Ahead and Read are the prompt tokens that the chosen upstream had to read before the call and of it, as far as the node knew.
-	Ahead, Read int
+	// Estimate is what was known when the last upstream was chosen.
+	Estimate place.Estimate
 	// Pause is the longest time between two events.
 	Pause time.Duration
 	// Reason tells why the call was not answered by an upstream.
@@ -124,13 +124,13 @@
 	// sends counts sendings that may have reached an upstream; missed counts failures to connect.
 	sends, missed int
 	// mayHaveRun is set once a sending ended in any state but notSent and rejected.
-	mayHaveRun  bool
-	upstream    string
-	reason      string
-	begun       bool
-	first       time.Duration
-	events      int
-	ahead, read int
+	mayHaveRun bool
+	upstream   string
+	reason     string
+	begun      bool
+	first      time.Duration
+	events     int
+	estimate   place.Estimate
 	// last is when the last event came, and pause the longest time between two.
 	last      time.Time
 	pause     time.Duration
@@ -224,7 +224,7 @@
 		return notSent
 	}
 	cou.upstream = ins.ID
-	cou.ahead, cou.read = tic.Ahead, tic.Read
+	cou.estimate = tic.Estimate
 	if cou.sends > 0 || cou.missed > 0 {
 		opt.Log.Info("sent again", "Request", cou.job.Call.ID, "Upstream", ins.ID, "Send", cou.sends+1, "After", cou.reason)
 	}
@@ -415,8 +415,7 @@
 		First:    cou.first,
 		Events:   cou.events,
 		Pause:    cou.pause,
-		Ahead:    cou.ahead,
-		Read:     cou.read,
+		Estimate: cou.estimate,
 		Reason:   cou.reason,
 	}
 }
