Order calls by the workspace's priority and then by the route's

Engines preempt the newest of the least urgent, so a counter's request gave way to a summary.

Change: a call's urgency is its workspace's tier, and among equal ones the route's. The manifest in force is divided into the ten ranks that engines tell apart: one for each urgency that it allows, and a second one, for calls that will be late anyway, for as many of the last as there are ranks left.

--- a/internal/router/edge/front.go
+++ b/internal/router/edge/front.go
@@ -108,6 +108,7 @@
 		Route:   rou,
 		Service: route.Service(rou, cal.ID),
 		Tier:    route.Tier(rou, acc),
+		Ranks:   idx.Ranks(rou, acc),
 	}
 	job.Engine = idx.Manifest.Services[job.Service].Engine
 	if acc != nil {
--- a/internal/router/edge/load.go
+++ b/internal/router/edge/load.go
@@ -71,7 +71,7 @@
 	for _, lod := range dig.GetLoads() {
 		inf := place.InFlight{Running: int(lod.GetRunning()), Fragile: float64(lod.GetFragile())}
 		for num, val := range lod.GetUnread() {
-			if num < place.Ranks {
+			if num < router.EngineRanks {
 				inf.Unread[num] = int(val)
 			}
 		}
--- a/internal/router/place/board.go
+++ b/internal/router/place/board.go
@@ -174,7 +174,7 @@
 	Prompt int
 	// Output is the expected length of the answer in tokens.
 	Output int
-	Tier   int
+	Ranks  router.Ranks
 	Target time.Duration
 	// Gap is the longest pause between events that meets the objective; zero means that there is none.
 	Gap time.Duration
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -76,7 +76,7 @@
 			return router.Instance{}, nil, false
 		}
 		ins = brd.plain(cans)
-		return ins, brd.load(ins).enter(0, rank(wnt.Tier, false), wnt, now), true
+		return ins, brd.load(ins).enter(0, wnt.Ranks.InTime, wnt, now), true
 	}
 	off, ok := brd.engine(wnt, brd.fleet(wnt.Service, list), avoid)
 	if !ok {
@@ -84,7 +84,7 @@
 	}
 	lod := off.load
 	brd.caches.place(wnt.Chain, lod.id, false, now())
-	tic = lod.enter(off.read, rank(wnt.Tier, off.late), wnt, now)
+	tic = lod.enter(off.read, off.rank, wnt, now)
 	tic.Source = off.source
 	tic.noteRead = func() { brd.caches.place(wnt.Chain, lod.id, true, now()) }
 	return off.Instance, tic, true
@@ -98,8 +98,8 @@
 	read int
 	// source is the address of the engine from which it copies shared parts; empty for none.
 	source string
-	// late is set when the first event will miss its target.
-	late bool
+	// rank is the call's place in the order in which the engine reads prompts.
+	rank int
 	// cost is what the call costs there, in late answers.
 	cost float64
 }
@@ -187,8 +187,8 @@
 		off.read, off.source = max(0, wnt.Prompt-prm.copied), prm.source.Address
 		off.cost = float64(prm.copied-kept) * wnt.Engine.TokenBytes / copyBytes
 	}
-	cost, late := vew.late(wnt, off.read)
-	off.late = late
+	cost, rnk := vew.late(wnt, off.read)
+	off.rank = rnk
 	off.cost += cost + rankCost*float64(min(can.step, rankMost))
 	off.cost += runningCost*float64(vew.Running) + failureCost*vew.failures
 	off.cost += brd.distance(can.Instance, domainCost, regionCost)
@@ -244,23 +244,24 @@
 	return harmCost * (1 + slowHarm*(vew.slow-1)) * vew.Fragile * min(1, took/float64(harmReading.Milliseconds()))
 }
 
-// late returns the cost of the estimated time to the first event, in late answers, and whether the call is read after others of its tier.
-func (vew view) late(wnt Want, read int) (cost float64, late bool) {
-	rel := vew.wait(wnt, read, false)
+// late returns the cost of the estimated time to the first event, in late answers, and the call's rank.
+func (vew view) late(wnt Want, read int) (cost float64, rank int) {
+	rank = wnt.Ranks.InTime
+	rel := vew.wait(wnt, read, rank)
 	if rel > lateFrom {
-		late = true
-		rel = vew.wait(wnt, read, true)
+		rank = wnt.Ranks.Late
+		rel = vew.wait(wnt, read, rank)
 	}
-	return waitSlope*rel + 1/(1+math.Exp(-lateSteepness*(rel-lateCentre))), late
+	return waitSlope*rel + 1/(1+math.Exp(-lateSteepness*(rel-lateCentre))), rank
 }
 
 // wait returns the estimated time to the first event, relative to the target.
-func (vew view) wait(wnt Want, read int, late bool) float64 {
+func (vew view) wait(wnt Want, read, rank int) float64 {
 	target := wnt.Target
 	if target <= 0 {
 		target = defaultTarget
 	}
-	wait := float64(vew.Unread.ahead(rank(wnt.Tier, late))+read) / vew.rate
+	wait := float64(vew.Unread.ahead(rank)+read) / vew.rate
 	wait += min(wait*(vew.slow-1), float64(slowLeft.Milliseconds())*(1-1/vew.slow))
 	return wait / float64(target.Milliseconds())
 }
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
 
 const (
@@ -26,23 +28,8 @@
 // readingHalfLife is the time in which the memory of past reading halves.
 const readingHalfLife = time.Second
 
-// tiers is the number of tiers that placement tells apart; lower ones count as the last.
-const tiers = 5
-
-// Ranks is the number of ranks in which engines read prompts: two for each tier.
-const Ranks = 2 * tiers
-
-// rank returns a call's place in the order in which engines read prompts; within a tier, calls that will be late anyway come last.
-func rank(tier int, late bool) (res int) {
-	res = 2 * min(max(tier, 0), tiers-1)
-	if late {
-		res++
-	}
-	return res
-}
-
 // Unread counts prompt tokens that were sent and not read yet, by rank.
-type Unread [Ranks]int
+type Unread [router.EngineRanks]int
 
 // ahead returns how much is read before a call of a rank.
 func (unr Unread) ahead(rank int) (sum int) {
--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -55,7 +55,7 @@
 func long(part uint64) place.Want {
 	return place.Want{
 		Chain: place.Shared([]router.Part{{ID: part, Tokens: 13000}, {ID: 1 << 40, Tokens: 4000}}), Prompt: 17000,
-		Target: target, Gap: pause, Tier: 2,
+		Target: target, Gap: pause, Ranks: router.Ranks{InTime: 4, Late: 5},
 	}
 }
 
@@ -196,8 +196,9 @@
 			ben := newBench()
 			late, most := 0, 0
 			for part := range uint64(cas.burst) {
-				_, tic := ben.choose(t, long(part))
-				if tic.Rank > 2*long(part).Tier {
+				wnt := long(part)
+				_, tic := ben.choose(t, wnt)
+				if tic.Rank == wnt.Ranks.Late {
 					late++
 					continue
 				}
--- a/internal/router/route/route.go
+++ b/internal/router/route/route.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"strings"
@@ -16,6 +17,7 @@
 	// hosts holds the routes of a host, the longest prefix first.
 	hosts    map[string][]*router.Route
 	accounts map[string]*router.Account
+	ranks    map[urgency]router.Ranks
 }
 
 // New returns the index of a manifest, which must not change any more.
@@ -24,6 +26,7 @@
 		Manifest: man,
 		hosts:    make(map[string][]*router.Route),
 		accounts: make(map[string]*router.Account),
+		ranks:    ranks(order(man)),
 	}
 	for num := range man.Routes {
 		rou := &man.Routes[num]
@@ -86,10 +89,57 @@
 	return ""
 }
 
-// Tier returns the rank of a call on a route for a workspace, which may be nil.
+// Tier returns the tier of a call on a route for a workspace, which may be nil.
 func Tier(rou *router.Route, acc *router.Account) int {
 	if acc != nil && acc.Ranked {
 		return acc.Tier
 	}
 	return rou.Tier
 }
+
+// urgency orders calls: by tier first, and by the route's own tier where a workspace's one replaces it.
+type urgency struct {
+	tier, route int
+}
+
+// order returns the urgencies that a manifest allows, the most urgent first.
+func order(man *router.Manifest) (urgs []urgency) {
+	for _, rou := range man.Routes {
+		urgs = append(urgs, urgency{tier: rou.Tier, route: rou.Tier})
+		for _, acc := range man.Accounts {
+			if acc.Ranked {
+				urgs = append(urgs, urgency{tier: acc.Tier, route: rou.Tier})
+			}
+		}
+	}
+	slices.SortFunc(urgs, func(one, two urgency) int {
+		return cmp.Or(cmp.Compare(one.tier, two.tier), cmp.Compare(one.route, two.route))
+	})
+	return slices.Compact(urgs)
+}
+
+// ranks divides the ranks of engines among urgencies: one each, a second one for calls that will be late anyway to as many of the last as there are ranks left. Where there are too few, neighbours share.
+func ranks(urgs []urgency) (res map[urgency]router.Ranks) {
+	res = make(map[urgency]router.Ranks, len(urgs))
+	single := max(0, 2*len(urgs)-router.EngineRanks)
+	next := 0
+	for num, urg := range urgs {
+		switch {
+		case len(urgs) > router.EngineRanks:
+			rnk := num * router.EngineRanks / len(urgs)
+			res[urg] = router.Ranks{InTime: rnk, Late: rnk}
+		case num < single:
+			res[urg] = router.Ranks{InTime: next, Late: next}
+			next++
+		default:
+			res[urg] = router.Ranks{InTime: next, Late: next + 1}
+			next += 2
+		}
+	}
+	return res
+}
+
+// Ranks returns the places of a call in the order in which engines read prompts.
+func (idx *Index) Ranks(rou *router.Route, acc *router.Account) router.Ranks {
+	return idx.ranks[urgency{tier: Tier(rou, acc), route: rou.Tier}]
+}
--- a/internal/router/route/route_test.go
+++ b/internal/router/route/route_test.go
@@ -85,3 +85,51 @@
 		t.Errorf("a route without services leads to %q", got)
 	}
 }
+
+func TestRanks(t *testing.T) {
+	routes := []router.Route{{Name: "first", Tier: 0}, {Name: "second", Tier: 1}, {Name: "third", Tier: 2}}
+	ranked := func(tier int) *router.Account { return &router.Account{Ranked: true, Tier: tier} }
+	cases := map[string]struct {
+		accounts []*router.Account
+		// calls are a route and an account each, the most urgent first; equal ones share their ranks.
+		calls [][2]int
+		late  bool
+	}{
+		"routes alone": {
+			accounts: []*router.Account{nil},
+			calls:    [][2]int{{0, 0}, {1, 0}, {2, 0}},
+			late:     true,
+		},
+		"workspaces go before routes": {
+			accounts: []*router.Account{ranked(0), ranked(1)},
+			calls:    [][2]int{{0, 0}, {1, 0}, {2, 0}, {0, 1}, {1, 1}, {2, 1}},
+			late:     true,
+		},
+		"more than engines tell apart": {
+			accounts: []*router.Account{ranked(0), ranked(1), ranked(2), ranked(3), ranked(4)},
+			calls:    [][2]int{{0, 0}, {2, 1}, {2, 2}, {2, 4}},
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			man := &router.Manifest{Routes: routes}
+			for _, acc := range cas.accounts {
+				if acc != nil {
+					man.Accounts = append(man.Accounts, *acc)
+				}
+			}
+			idx := route.New(man)
+			last := -1
+			for _, cal := range cas.calls {
+				rnk := idx.Ranks(&man.Routes[cal[0]], cas.accounts[cal[1]])
+				if rnk.InTime <= last || rnk.Late < rnk.InTime || rnk.Late >= router.EngineRanks {
+					t.Errorf("route %d, account %d: %+v after %d", cal[0], cal[1], rnk, last)
+				}
+				last = rnk.Late
+			}
+			if final := idx.Ranks(&man.Routes[2], cas.accounts[len(cas.accounts)-1]); (final.Late > final.InTime) != cas.late {
+				t.Errorf("the last call has ranks %+v", final)
+			}
+		})
+	}
+}
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -38,6 +38,8 @@
 	Engine    *router.EngineSpec
 	Workspace string
 	Tier      int
+	// Ranks are the call's places in the order in which engines read prompts.
+	Ranks router.Ranks
 }
 
 // Report tells how a job ended.
@@ -263,7 +265,7 @@
 		Chain:   place.Shared(cal.Prompt),
 		Prompt:  cal.PromptTokens,
 		Output:  cal.OutputTokens,
-		Tier:    cou.job.Tier,
+		Ranks:   cou.job.Ranks,
 		Target:  cou.job.Route.Target,
 		Gap:     cou.job.Route.GapTarget,
 		Engine:  cou.job.Engine,
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -141,6 +141,15 @@
 	return ins.ID == oth.ID && ins.Born == oth.Born && ins.Address == oth.Address && ins.Service == oth.Service
 }
 
+// EngineRanks is the number of ranks in which engines read prompts.
+const EngineRanks = 10
+
+// Ranks are the places of a call in the order in which engines read prompts; 0 is read first.
+type Ranks struct {
+	// InTime is the place of a call that can meet its target, and Late that of one that will miss it anyway.
+	InTime, Late int
+}
+
 // Attempt is one sending of a call to an upstream.
 type Attempt struct {
 	Instance  Instance
