Remove the records of nodes that stopped or are not heard for long

Change: a planned stop removes the node's own record, on the condition that it still has the version that was read, so that a late removal never hits the record of the next start. The live node that is first by hash removes records whose nodes have not been heard for ten minutes; a node that was only cut off sees that its record is gone and writes it again. The list has a file of its own, and a node reads it in the same round in which it writes its record.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -308,6 +308,7 @@
 func (nod *Node) stop(srv *http.Server) {
 	nod.stopping.Store(true)
 	nod.mesh.Stop()
+	go nod.mesh.Leave(context.Background())
 	nod.front.closing.Store(true)
 	nod.options.Log.Info("node stopping", "Active", nod.front.active.Load())
 	grace := nod.settings.Load().Platform.Grace
--- /dev/null
+++ b/internal/router/mesh/list_test.go
@@ -0,0 +1,111 @@
+package mesh
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/stand"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+func newMesh(name string, src *stand.Source) (msh *Mesh, tms *timer.Manual) {
+	tms = timer.NewManual(time.Unix(1000, 0))
+	return New(Options{
+		Self:   router.Member{Name: name, Address: "127.0.0.1:1", FailureDomain: "domain"},
+		Timers: tms,
+		Log:    slog.New(slog.DiscardHandler),
+		Source: src,
+		Codec:  stand.Codec{},
+	}), tms
+}
+
+// listed returns the names in the list of nodes.
+func listed(t *testing.T, src *stand.Source) (names []string) {
+	t.Helper()
+	chs, err := src.Read(t.Context(), router.Members)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, rec := range chs.Records {
+		names = append(names, rec.Key)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func TestRecordsOfLostNodesAreRemoved(t *testing.T) {
+	names := []string{"one", "two", "three"}
+	slices.SortFunc(names, func(one, two string) int {
+		if xxhash.Sum64String(one) < xxhash.Sum64String(two) {
+			return -1
+		}
+		return 1
+	})
+	cases := map[string]struct {
+		// self is the place of the node that looks in the order by hash; the first other node is heard, the second one is not.
+		self    int
+		after   time.Duration
+		restart bool
+		kept    int
+	}{
+		"not heard for long":            {after: 2 * lostStay, kept: 2},
+		"not heard for a while":         {after: lostStay / 2, kept: 3},
+		"listed again meanwhile":        {after: 2 * lostStay, restart: true, kept: 3},
+		"another node is first to look": {self: 2, after: 2 * lostStay, kept: 3},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			src := stand.NewSource()
+			msh, tms := newMesh(names[cas.self], src)
+			others := slices.DeleteFunc(slices.Clone(names), func(nam string) bool { return nam == names[cas.self] })
+			for _, nam := range names {
+				if err := src.Join(t.Context(), router.Member{Name: nam, Address: "127.0.0.1:2", FailureDomain: "domain"}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := msh.readMembers(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			tms.Advance(cas.after)
+			msh.accept(&wire.Digest{Node: others[0], Address: "127.0.0.1:2", Incarnation: 1, Sequence: 1})
+			if cas.restart {
+				if err := src.Join(t.Context(), router.Member{Name: others[1], Address: "127.0.0.1:3", FailureDomain: "domain"}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			msh.removeLost(t.Context())
+			if got := listed(t, src); len(got) != cas.kept {
+				t.Errorf("listed are %v, want %d", got, cas.kept)
+			}
+		})
+	}
+}
+
+func TestStoppingNodeLeavesTheList(t *testing.T) {
+	src := stand.NewSource()
+	msh, _ := newMesh("one", src)
+	if err := src.Join(t.Context(), msh.options.Self); err != nil {
+		t.Fatal(err)
+	}
+	if err := msh.readMembers(t.Context()); err != nil || !msh.joined() {
+		t.Fatalf("the node is not listed: %v", err)
+	}
+	msh.Leave(t.Context())
+	if got := listed(t, src); len(got) != 0 {
+		t.Errorf("listed are %v", got)
+	}
+	// A node whose record is gone sees it, so that it can write it again.
+	if err := msh.readMembers(t.Context()); err != nil || msh.joined() {
+		t.Errorf("the node believes that it is listed: %v", err)
+	}
+	if got := slices.Collect(maps.Keys(msh.lost())); len(got) != 0 {
+		t.Errorf("lost are %v", got)
+	}
+}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fault"
@@ -41,10 +39,6 @@
 	regionEvery = 4
 	// datagramBytes bounds a digest.
 	datagramBytes = 60 << 10
-	// membersEvery is how often the list of nodes is read again, with as much jitter; newcomers announce themselves.
-	membersEvery = time.Minute
-	// joinRetry is the pause after a failure to write or read the list of nodes.
-	joinRetry = time.Second
 )
 
 // Load is what a Mesh tells and learns of placement.
@@ -84,6 +78,8 @@
 	stopping bool
 	// listed is set once the list of nodes was read.
 	listed bool
+	// version is the store's version of this node's own record; zero while it is not listed.
+	version int64
 	// told holds the placements of the last digests, which those who get fewer digests are told together.
 	told [][]*wire.Placement
 }
@@ -96,6 +92,9 @@
 	sequence    uint64
 	heard       time.Time
 	live        bool
+	// listed is when the record was first seen, and version the store's version of it; zero for peers that are not listed.
+	listed  time.Time
+	version int64
 	// reads is set while the peer follows the store itself.
 	reads    bool
 	versions map[string]int64
@@ -329,69 +328,3 @@
 	}
 	return true
 }
-
-// listMembers writes this node into the list of nodes and reads who else is there.
-func (msh *Mesh) listMembers(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := msh.options.Source.Join(ctx, msh.options.Self)
-		if err == nil {
-			break
-		}
-		msh.options.Log.Info("node not listed", "Error", err.Error())
-		timer.Sleep(ctx, joinRetry+rand.N(joinRetry))
-	}
-	for ctx.Err() == nil {
-		chs, err := msh.options.Source.Read(ctx, router.Members)
-		if err != nil {
-			msh.options.Log.Info("list of nodes not read", "Error", err.Error())
-			timer.Sleep(ctx, joinRetry+rand.N(joinRetry))
-			continue
-		}
-		msh.merge(chs)
-		timer.Sleep(ctx, membersEvery+rand.N(membersEvery))
-	}
-}
-
-func (msh *Mesh) merge(chs router.Changes) {
-	listed := make(map[string]bool)
-	for _, rec := range chs.Records {
-		mem, err := msh.options.Codec.Member(rec)
-		if err == nil {
-			err = msh.add(mem)
-		}
-		if err != nil {
-			msh.options.Log.Warn("node record ignored", "Record", rec.Key, "Error", err.Error())
-			continue
-		}
-		listed[mem.Name] = true
-	}
-	msh.mut.Lock()
-	defer msh.mut.Unlock()
-	msh.listed = true
-	for nam, per := range msh.peers {
-		if !listed[nam] && !per.live {
-			delete(msh.peers, nam)
-		}
-	}
-}
-
-// add notes a listed node; one that was heard says itself where it is.
-func (msh *Mesh) add(mem router.Member) (err error) {
-	if mem.Name == "" {
-		return errors.New("no name")
-	}
-	adr, err := net.ResolveUDPAddr("udp4", mem.Address)
-	if err != nil || mem.Name == msh.options.Self.Name {
-		return err
-	}
-	msh.mut.Lock()
-	defer msh.mut.Unlock()
-	per := msh.peers[mem.Name]
-	switch {
-	case per == nil:
-		msh.peers[mem.Name] = &peer{member: mem, address: adr}
-	case !per.live:
-		per.member, per.address = mem, adr
-	}
-	return nil
-}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -229,6 +229,8 @@
 	Follow(ctx context.Context, knd RecordKind, after int64, wait time.Duration) (chs Changes, err error)
 	// Join writes this node's own record, or returns ErrUnavailable.
 	Join(ctx context.Context, mem Member) (err error)
+	// Leave removes a node's record if it still has a version, or returns ErrCondition or ErrUnavailable.
+	Leave(ctx context.Context, name string, version int64) (err error)
 }
 
 // Member is a node of the product as it is listed in the platform's store.
--- a/internal/stand/source.go
+++ b/internal/stand/source.go
@@ -140,3 +140,15 @@
 	src.Set(router.Members, mem.Name, []byte(mem.Name+" "+mem.Address+" "+mem.FailureDomain))
 	return nil
 }
+
+// Leave removes the record of a node if it has a version.
+func (src *Source) Leave(_ context.Context, name string, version int64) (err error) {
+	src.mut.Lock()
+	rec := src.records[router.Members][name]
+	src.mut.Unlock()
+	if rec.Version != version {
+		return router.ErrCondition
+	}
+	src.Set(router.Members, name, nil)
+	return nil
+}
