Keep short prompts in the region where it has engines enough

Short prompts share little that would be read again.

Change: the order in which engines are divided among the kinds of calls has those of each failure domain evenly, and a short prompt's ranking begins with the engines of its region, if four or more are for short prompts there.

Ruled out: the same without a least number.

--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -270,13 +270,18 @@
 	switch {
 	case ins.FailureDomain == brd.options.FailureDomain:
 		return 0
-	case brd.options.Regions[ins.FailureDomain] == brd.options.Regions[brd.options.FailureDomain]:
-		return domain
-	default:
+	case brd.far(ins):
 		return region
+	default:
+		return domain
 	}
 }
 
+// far reports whether an instance is in another region.
+func (brd *Board) far(ins router.Instance) bool {
+	return brd.options.Regions[ins.FailureDomain] != brd.options.Regions[brd.options.FailureDomain]
+}
+
 // kind returns the kind of a call.
 func (wnt Want) kind() kind {
 	switch {
--- a/internal/router/place/fleet.go
+++ b/internal/router/place/fleet.go
@@ -17,6 +17,8 @@
 	// ownMost and otherMost are how many engines of a call's own kind and of each other kind are considered for it; more would cost every call time and let nodes with the same view choose the same engine.
 	ownMost   = 16
 	otherMost = 8
+	// nearLeast is the number of engines from which short prompts stay in the region; fewer do not even out its load.
+	nearLeast = 4
 )
 
 // kind is what a call does to an engine and what it suffers there.
@@ -39,6 +41,8 @@
 	load *load
 	hash uint64
 	kind kind
+	// far is set for engines in another region than this node.
+	far bool
 }
 
 // fleet is the engines of a service, divided among the kinds of calls; nodes that know the same engines agree on it.
@@ -69,11 +73,11 @@
 	fle = &fleet{list: list, byID: make(map[uint64]*engine, len(list))}
 	ord := make([]*engine, 0, len(list))
 	for _, ins := range list {
-		eng := &engine{Instance: ins, load: brd.load(ins), hash: xxhash.Sum64String(ins.ID)}
+		eng := &engine{Instance: ins, load: brd.load(ins), hash: xxhash.Sum64String(ins.ID), far: brd.far(ins)}
 		fle.byID[eng.load.id] = eng
 		ord = append(ord, eng)
 	}
-	slices.SortFunc(ord, func(one, two *engine) int { return cmp.Compare(one.hash, two.hash) })
+	spread(ord)
 	fst := max(1, int(math.Round(briefShare*float64(len(ord)))))
 	snd := max(fst, int(math.Round((briefShare+fragileShare)*float64(len(ord)))))
 	fle.kinds[brief], fle.kinds[fragile], fle.kinds[sturdy] = ord[:fst], ord[fst:snd], ord[snd:]
@@ -85,6 +89,21 @@
 	return fle
 }
 
+// spread orders engines by hash, with those of each failure domain evenly over the order.
+func spread(engs []*engine) {
+	slices.SortFunc(engs, func(one, two *engine) int { return cmp.Compare(one.hash, two.hash) })
+	all, seen := make(map[string]int), make(map[string]int)
+	for _, eng := range engs {
+		all[eng.FailureDomain]++
+	}
+	position := make(map[*engine]float64, len(engs))
+	for _, eng := range engs {
+		position[eng] = (float64(seen[eng.FailureDomain]) + 0.5) / float64(all[eng.FailureDomain])
+		seen[eng.FailureDomain]++
+	}
+	slices.SortStableFunc(engs, func(one, two *engine) int { return cmp.Compare(position[one], position[two]) })
+}
+
 // candidate is an engine in the order in which a call considers it.
 type candidate struct {
 	*engine
@@ -101,7 +120,7 @@
 		if knd == own {
 			most = ownMost
 		}
-		for _, eng := range ranked(home, fle.kinds[knd], most) {
+		for _, eng := range ranked(home, fle.kinds[knd], most, own == brief && fle.near(knd) >= nearLeast) {
 			seen[eng.load.id] = true
 			res = append(res, candidate{engine: eng, step: len(res)})
 		}
@@ -117,6 +136,16 @@
 	return res
 }
 
+// near returns how many engines of a kind are in the own region.
+func (fle *fleet) near(knd kind) (num int) {
+	for _, eng := range fle.kinds[knd] {
+		if !eng.far {
+			num++
+		}
+	}
+	return num
+}
+
 // all returns every engine as a candidate.
 func (fle *fleet) all() (res []candidate) {
 	for _, engs := range fle.kinds {
@@ -127,15 +156,21 @@
 	return res
 }
 
-// ranked returns the first engines for a chain of parts by rendezvous hashing.
-func ranked(home uint64, engs []*engine, most int) (res []*engine) {
+// farScore is what puts an engine of another region behind all near ones.
+const farScore = 1 << 63
+
+// ranked returns the first engines for a chain of parts by rendezvous hashing, on demand those of the own region first.
+func ranked(home uint64, engs []*engine, most int, nearFirst bool) (res []*engine) {
 	type score struct {
 		eng *engine
 		val uint64
 	}
 	best := make([]score, 0, most+1)
 	for _, eng := range engs {
-		val := mix(home ^ eng.hash)
+		val := mix(home^eng.hash) >> 1
+		if nearFirst && eng.far {
+			val |= farScore
+		}
 		if len(best) == most && val >= best[most-1].val {
 			continue
 		}
--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -324,6 +324,41 @@
 	}
 }
 
+// TestShortPromptsStayInTheRegion has callers in one region; where it has engines enough, none of their short prompts crosses, and long ones go where their parts are.
+func TestShortPromptsStayInTheRegion(t *testing.T) {
+	cases := map[string]struct {
+		engines int
+		stay    bool
+	}{
+		"engines enough": {engines: 64, stay: true},
+		"few engines":    {engines: 8},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			ben := newBench(cas.engines)
+			for idx := range ben.instances {
+				if idx%2 == 1 {
+					ben.instances[idx].FailureDomain = "far"
+				}
+			}
+			far := 0
+			for part := range uint64(40) {
+				wnt := short()
+				wnt.Chain = place.Shared([]router.Part{{ID: part, Tokens: 300}, {ID: 1 << 40, Tokens: 1100}})
+				ins, tic := ben.choose(t, wnt)
+				if ins.FailureDomain == "far" {
+					far++
+				}
+				tic.Begun()
+				tic.Done(place.Served)
+			}
+			if (far == 0) != cas.stay {
+				t.Errorf("%d of 40 short prompts left the region", far)
+			}
+		})
+	}
+}
+
 func TestLastUpstreamIsUsedThoughPaused(t *testing.T) {
 	ben := newBench(1)
 	_, tic := ben.choose(t, short())
