Read the store with one node a failure domain, and few far ones at the start

Ruled out: the store's rates (nothing was answered 429).

Change: one node of each failure domain reads; readers of other failure domains tell what is new while a domain has none. At the start, a node that sees the store answer after 30 ms or more leaves the first reading of both kinds of record to the first node of its failure domain, if there are 16 peers or more; with 128 peers all do, as before. Each node waits a little longer than the one listed before it, so that not all read at once in the end. The order of urgencies is made from the tiers in use, not from every route and workspace.

--- a/internal/router/mesh/list.go
+++ b/internal/router/mesh/list.go
@@ -62,11 +62,13 @@
 }
 
 func (msh *Mesh) readMembers(ctx context.Context) (err error) {
+	begun := msh.options.Timers.Now()
 	chs, err := msh.options.Source.Read(ctx, router.Members)
-	if err == nil {
-		msh.merge(chs)
+	if err != nil {
+		return err
 	}
-	return err
+	msh.merge(chs, msh.options.Timers.Now().Sub(begun))
+	return nil
 }
 
 // Leave removes this node's record, so that nobody waits for it.
@@ -115,8 +117,8 @@
 	return versions
 }
 
-// merge takes the list of nodes; those that are not in it and not heard are forgotten.
-func (msh *Mesh) merge(chs router.Changes) {
+// merge takes the list of nodes and how long the store took to give it; nodes that are not in it and not heard are forgotten.
+func (msh *Mesh) merge(chs router.Changes, answered time.Duration) {
 	own := int64(0)
 	listed := make(map[string]bool)
 	for _, rec := range chs.Records {
@@ -137,7 +139,7 @@
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
 	msh.listed = true
-	msh.version = own
+	msh.version, msh.answered = own, answered
 	for nam, per := range msh.peers {
 		if !listed[nam] && !per.live {
 			delete(msh.peers, nam)
--- a/internal/router/mesh/list_test.go
+++ b/internal/router/mesh/list_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -109,3 +110,84 @@
 		t.Errorf("lost are %v", got)
 	}
 }
+
+// TestOneNodeOfADomainReads has the first node of a failure domain follow the store for the second one, for as long as it can.
+func TestOneNodeOfADomainReads(t *testing.T) {
+	names := []string{"one", "two"}
+	if xxhash.Sum64String(names[0]) > xxhash.Sum64String(names[1]) {
+		slices.Reverse(names)
+	}
+	cases := map[string]struct {
+		digest  *wire.Digest
+		silence time.Duration
+		relayed bool
+	}{
+		"the first one reads":             {digest: &wire.Digest{FailureDomain: "domain", Reads: true}, relayed: true},
+		"its feed fails":                  {digest: &wire.Digest{FailureDomain: "domain"}},
+		"it stops":                        {digest: &wire.Digest{FailureDomain: "domain", Reads: true, Stopping: true}},
+		"it is silent":                    {digest: &wire.Digest{FailureDomain: "domain", Reads: true}, silence: heardWithin + time.Millisecond},
+		"it is in another failure domain": {digest: &wire.Digest{FailureDomain: "other", Reads: true}},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			msh, tms := newMesh(names[1], stand.NewSource())
+			msh.options.Load = &noLoad{}
+			cas.digest.Node, cas.digest.Address, cas.digest.Incarnation, cas.digest.Sequence = names[0], "127.0.0.1:2", 1, 1
+			msh.accept(cas.digest)
+			tms.Advance(cas.silence)
+			msh.targets(&wire.Digest{})
+			if got := msh.Relayed(); got != cas.relayed {
+				t.Errorf("the store is left to the peer: %t", got)
+			}
+		})
+	}
+}
+
+// noLoad is a Load that has none.
+type noLoad struct{}
+
+func (noLoad) Describe(*wire.Digest) {}
+func (noLoad) Learn(*wire.Digest)    {}
+func (noLoad) Lose(string)           {}
+
+// TestFirstReadingIsLeftToFew has all nodes of a fleet start at once; where their reading would fill a link, the first of each failure domain reads for them.
+func TestFirstReadingIsLeftToFew(t *testing.T) {
+	const far, near = 60 * time.Millisecond, 4 * time.Millisecond
+	cases := map[string]struct {
+		nodes    int
+		answered time.Duration
+		age      time.Duration
+		waits    bool
+	}{
+		"few nodes, far store":          {nodes: 6, answered: far},
+		"many nodes, near store":        {nodes: 60, answered: near},
+		"many nodes, far store":         {nodes: 60, answered: far, waits: true},
+		"a large fleet, near store":     {nodes: 200, answered: near, waits: true},
+		"nobody has read after a while": {nodes: 60, answered: far, age: startLimit + 60*startStep},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			src := stand.NewSource()
+			last, hash := "", uint64(0)
+			for num := range cas.nodes {
+				mem := router.Member{Name: fmt.Sprintf("node-%d", num), Address: "127.0.0.1:2", FailureDomain: "domain"}
+				if err := src.Join(t.Context(), mem); err != nil {
+					t.Fatal(err)
+				}
+				if sum := xxhash.Sum64String(mem.Name); sum > hash {
+					last, hash = mem.Name, sum
+				}
+			}
+			msh, tms := newMesh(last, src)
+			chs, err := src.Read(t.Context(), router.Members)
+			if err != nil {
+				t.Fatal(err)
+			}
+			msh.merge(chs, cas.answered)
+			tms.Advance(cas.age)
+			if got := msh.Starting(); got != cas.waits {
+				t.Errorf("the last node leaves the first reading to others: %t", got)
+			}
+		})
+	}
+}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -26,14 +26,18 @@
 	heardWithin = 2 * time.Second
 	// silentEvery is how often a peer that is not heard is tried, in digests.
 	silentEvery = 10
-	// readersPerDomain is how many nodes of a failure domain follow the store; the others get its changes from them.
-	readersPerDomain = 2
-	// startLimit is how long after its start a node leaves the first reading of the store to the nodes that are listed before it.
+	// readersPerDomain is how many nodes of a failure domain follow the store; the others get its changes from them, and from those of other failure domains while they have none.
+	readersPerDomain = 1
+	// startLimit is how long after its start a node leaves the first reading of the store to the nodes that are listed before it, and startStep what each of these adds, so that the rest do not read all at once.
 	startLimit = 2 * time.Second
+	startStep  = 100 * time.Millisecond
 	// listLimit is how long after its start a node waits for the list of nodes.
 	listLimit = 300 * time.Millisecond
-	// directNodes is the number of peers up to which all nodes read the store for themselves at the start.
+	// directNodes is the number of peers up to which all nodes read the store for themselves at the start, and directFar the same for nodes in another region than the store, which share a narrow link.
 	directNodes = 128
+	directFar   = 16
+	// farStore is how long a store in another region takes to answer at least; within a region it takes a few milliseconds.
+	farStore = 30 * time.Millisecond
 	// domainEvery and regionEvery are how many digests go to the own failure domain for each one to another domain and to another region.
 	domainEvery = 2
 	regionEvery = 4
@@ -80,6 +84,8 @@
 	listed bool
 	// version is the store's version of this node's own record; zero while it is not listed.
 	version int64
+	// answered is how long the store took to answer when the list was read.
+	answered time.Duration
 	// told holds the placements of the last digests, which those who get fewer digests are told together.
 	told [][]*wire.Placement
 }
@@ -227,7 +233,11 @@
 		return age < listLimit
 	}
 	listed, _ := msh.before()
-	return age < startLimit && len(msh.peers) >= directNodes && listed >= readersPerDomain
+	direct := directNodes
+	if msh.answered > farStore {
+		direct = directFar
+	}
+	return listed >= readersPerDomain && len(msh.peers) >= direct && age < startLimit+time.Duration(listed)*startStep
 }
 
 // before returns how many nodes of the failure domain read the store before this one: those listed, and of them those that do so now.
--- a/internal/router/route/route.go
+++ b/internal/router/route/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -104,18 +105,26 @@
 
 // order returns the urgencies that a manifest allows, the most urgent first.
 func order(man *router.Manifest) (urgs []urgency) {
+	workspaces := make(map[int]bool)
+	for _, acc := range man.Accounts {
+		if acc.Ranked {
+			workspaces[acc.Tier] = true
+		}
+	}
+	seen := make(map[urgency]bool)
 	for _, rou := range man.Routes {
-		urgs = append(urgs, urgency{tier: rou.Tier, route: rou.Tier})
-		for _, acc := range man.Accounts {
-			if acc.Ranked {
-				urgs = append(urgs, urgency{tier: acc.Tier, route: rou.Tier})
-			}
+		alone := urgency{tier: rou.Tier, route: rou.Tier}
+		if seen[alone] {
+			continue
+		}
+		seen[alone] = true
+		for tier := range workspaces {
+			seen[urgency{tier: tier, route: rou.Tier}] = true
 		}
 	}
-	slices.SortFunc(urgs, func(one, two urgency) int {
+	return slices.SortedFunc(maps.Keys(seen), func(one, two urgency) int {
 		return cmp.Or(cmp.Compare(one.tier, two.tier), cmp.Compare(one.route, two.route))
 	})
-	return slices.Compact(urgs)
 }
 
 // ranks divides the ranks of engines among urgencies: one each, a second one for calls that will be late anyway to as many of the last as there are ranks left. Where there are too few, neighbours share.
