--- a/internal/router/place/fleet.go
+++ b/internal/router/place/fleet.go
@@ -17,6 +17,10 @@
 	// ownMost and otherMost are how many engines of a call's own kind and of each other kind are considered for it; more would cost every call time and let nodes with the same view choose the same engine.
 	ownMost   = 16
 	otherMost = 8
+	// shortPrompt is the length from which a prompt delays the tokens of others noticeably, in tokens.
+	shortPrompt = 4000
+	// sturdyPauses is how many usual pauses while an engine reads a call must accept to be sturdy; slow spells stretch pauses two to three times.
+	sturdyPauses = 4
 	// nearLeast is the number of engines from which short prompts stay in the region; fewer do not even out its load.
 	nearLeast = 4
 )
@@ -34,6 +38,18 @@
 	sturdy
 )
 
+// kind returns the kind of a call.
+func (wnt Want) kind() kind {
+	switch {
+	case wnt.Prompt < shortPrompt:
+		return brief
+	case wnt.Gap > 0 && wnt.Gap < sturdyPauses*readingPause:
+		return fragile
+	default:
+		return sturdy
+	}
+}
+
 // engine is an instance with what placement keeps of it.
 type engine struct {
 	router.Instance
