Send a stream that may resume to another upstream after an error

Ruled out: leaving such engines (145 upstreams failed alike).

Change: an upstream's own error before the first event is tried again wherever the route allows another run, within the budget (two cases of TestAnswers, the first failing before).

Conclusion: kept, because it is what the route's owner allows.

--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -73,7 +73,7 @@
 // retryError reports whether an upstream's own error is worth another sending.
 func (cou *course) retryError(status int) bool {
 	rou := cou.job.Route
-	return status != http.StatusGatewayTimeout && rou.Repeat == router.Freely && cou.sends < rou.Attempts &&
+	return status != http.StatusGatewayTimeout && rou.Repeat != router.Once && cou.sends < rou.Attempts &&
 		cou.sender.options.Budget.Of(cou.job.Service).Can()
 }
 
