Give up calls to a failing store after two seconds

The log shows all feeds lost at 24.9 s, in an outage, and regained at 30.5 s: the next call was sent into the outage, is never answered, and was waited for 5 s, 3.5 s of them after the store was back.

Ruled out: silent connections (probes notice them within three seconds).

Change: while the store fails, a call that waits 1 s for changes may take 1 s more; each fourth one may take as long as before, because what is missing may be large. TestCallSentIntoAnOutageIsGivenUp fails without it.

--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -21,6 +21,10 @@
 	// retryLeast and retryMost bound the pause before a failed call is repeated.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = time.Second
+	// probeSlack is how much longer than its own wait a call may take while the store fails; one that was sent into an outage is never answered.
+	probeSlack = time.Second
+	// patientEvery is after how many such calls one may take as long as any other, because what is missing may be large.
+	patientEvery = 4
 	// deletedMost bounds the deletions that are remembered for peers.
 	deletedMost = 1000
 	// outageEcho is how long after an outage copies say so; records that lapsed in it are written again within two seconds.
@@ -65,8 +69,9 @@
 	read bool
 	// regained is when the store answered again after its last failure.
 	regained time.Time
-	// failing is when the store stopped answering; zero while it answers.
-	failing time.Time
+	// failing is when the store stopped answering; zero while it answers. failures counts the calls since.
+	failing  time.Time
+	failures int
 }
 
 // New returns an empty Follower.
@@ -185,7 +190,7 @@
 
 func (fol *Follower) next(ctx context.Context) (chs router.Changes, err error) {
 	fol.mut.Lock()
-	read, after, failing := fol.read, fol.version, !fol.failing.IsZero()
+	read, after, failing, failures := fol.read, fol.version, !fol.failing.IsZero(), fol.failures
 	fol.mut.Unlock()
 	if !read {
 		return fol.options.Source.Read(ctx, fol.options.Kind)
@@ -194,6 +199,11 @@
 	if failing {
 		// A short wait shows soon that the store answers again.
 		wait = retryMost
+		if failures%patientEvery != 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, wait+probeSlack)
+			defer cancel()
+		}
 	}
 	return fol.options.Source.Follow(ctx, fol.options.Kind, after, wait)
 }
@@ -203,7 +213,9 @@
 	fresh := fol.failing.IsZero()
 	if fresh {
 		fol.failing = time.Now()
+		fol.failures = 0
 	}
+	fol.failures++
 	version := fol.version
 	fol.mut.Unlock()
 	if fresh {
--- a/internal/router/follow/follow_test.go
+++ b/internal/router/follow/follow_test.go
@@ -25,6 +25,13 @@
 }
 
 func start(t *testing.T, src *stand.Source) started {
+	t.Helper()
+	sta := startFrom(t, src)
+	sta.source = src
+	return sta
+}
+
+func startFrom(t *testing.T, src router.Source) started {
 	t.Helper()
 	upds := make(chan follow.Update, 64)
 	fol := follow.New(follow.Options{
@@ -43,7 +50,7 @@
 		cancel()
 		<-done
 	})
-	return started{Follower: fol, source: src, updates: upds}
+	return started{Follower: fol, updates: upds}
 }
 
 func (sta started) next(t *testing.T) follow.Update {
@@ -57,6 +64,37 @@
 	}
 }
 
+// hanging is a store that fails one call and never answers the next.
+type hanging struct {
+	*stand.Source
+
+	calls atomic.Int32
+}
+
+func (han *hanging) Follow(ctx context.Context, knd router.RecordKind, after int64, wait time.Duration) (chs router.Changes, err error) {
+	switch han.calls.Add(1) {
+	case 1:
+		return chs, router.ErrUnavailable
+	case 2:
+		<-ctx.Done()
+		return chs, router.ErrUnavailable
+	default:
+		return han.Source.Follow(ctx, knd, after, wait)
+	}
+}
+
+// TestCallSentIntoAnOutageIsGivenUp has the store return while a call that it will never answer is under way.
+func TestCallSentIntoAnOutageIsGivenUp(t *testing.T) {
+	han := &hanging{Source: stand.NewSource()}
+	han.Set(router.Instances, "a", []byte("1"))
+	sta := startFrom(t, han)
+	sta.next(t)
+	han.Set(router.Instances, "b", []byte("2"))
+	if upd := sta.next(t); len(upd.Changed) != 1 || upd.Changed[0].Key != "b" || !upd.Regained {
+		t.Errorf("after the outage: %+v", upd)
+	}
+}
+
 func TestFollowsChanges(t *testing.T) {
 	src := stand.NewSource()
 	src.Set(router.Instances, "one", []byte("1"))
