Let far nodes read the store for themselves at the start again

Change: as before, only fleets of 128 peers and more leave the first reading of the upstreams' records to few, and no fleet that of the configuration. What each listed node adds to the wait stays.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -96,8 +96,8 @@
 			links.Retire(place.Key(ins))
 		},
 	})
-	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, Relayed: nod.relayed(&nod.manifests)})
-	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply, Relayed: nod.relayed(&nod.instances)})
+	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, Relayed: nod.relayed})
+	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply, Relayed: nod.relayedInstances})
 	grd, stop := guard.New(opt.Timers, send.CrashStrikes)
 	nod.closers = append(nod.closers, stop)
 	lov := &loadView{board: board, guard: grd, timers: opt.Timers}
@@ -138,11 +138,14 @@
 	return nod
 }
 
-// relayed reports whether peers bring the platform's records of a kind, at the start those that read them first.
-func (nod *Node) relayed(fol **follow.Follower) func() bool {
-	return func() bool {
-		return nod.mesh.Relayed() || (*fol).Version() == 0 && nod.mesh.Starting()
-	}
+// relayed reports whether peers bring the platform's records.
+func (nod *Node) relayed() bool {
+	return nod.mesh.Relayed()
+}
+
+// relayedInstances reports whether peers bring the upstreams' records; in a large fleet few nodes read them at the start.
+func (nod *Node) relayedInstances() bool {
+	return nod.mesh.Relayed() || nod.instances.Version() == 0 && nod.mesh.Starting()
 }
 
 // applyManifest puts a new manifest in force; older versions never replace newer ones.
--- a/internal/router/mesh/list.go
+++ b/internal/router/mesh/list.go
@@ -62,13 +62,11 @@
 }
 
 func (msh *Mesh) readMembers(ctx context.Context) (err error) {
-	begun := msh.options.Timers.Now()
 	chs, err := msh.options.Source.Read(ctx, router.Members)
-	if err != nil {
-		return err
+	if err == nil {
+		msh.merge(chs)
 	}
-	msh.merge(chs, msh.options.Timers.Now().Sub(begun))
-	return nil
+	return err
 }
 
 // Leave removes this node's record, so that nobody waits for it.
@@ -117,8 +115,8 @@
 	return versions
 }
 
-// merge takes the list of nodes and how long the store took to give it; nodes that are not in it and not heard are forgotten.
-func (msh *Mesh) merge(chs router.Changes, answered time.Duration) {
+// merge takes the list of nodes; those that are not in it and not heard are forgotten.
+func (msh *Mesh) merge(chs router.Changes) {
 	own := int64(0)
 	listed := make(map[string]bool)
 	for _, rec := range chs.Records {
@@ -139,7 +137,7 @@
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
 	msh.listed = true
-	msh.version, msh.answered = own, answered
+	msh.version = own
 	for nam, per := range msh.peers {
 		if !listed[nam] && !per.live {
 			delete(msh.peers, nam)
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -33,11 +33,8 @@
 	startStep  = 100 * time.Millisecond
 	// listLimit is how long after its start a node waits for the list of nodes.
 	listLimit = 300 * time.Millisecond
-	// directNodes is the number of peers up to which all nodes read the store for themselves at the start, and directFar the same for nodes in another region than the store, which share a narrow link.
+	// directNodes is the number of peers up to which all nodes read the store for themselves at the start.
 	directNodes = 128
-	directFar   = 16
-	// farStore is how long a store in another region takes to answer at least; within a region it takes a few milliseconds.
-	farStore = 30 * time.Millisecond
 	// domainEvery and regionEvery are how many digests go to the own failure domain for each one to another domain and to another region.
 	domainEvery = 2
 	regionEvery = 4
@@ -84,8 +81,6 @@
 	listed bool
 	// version is the store's version of this node's own record; zero while it is not listed.
 	version int64
-	// answered is how long the store took to answer when the list was read.
-	answered time.Duration
 	// told holds the placements of the last digests, which those who get fewer digests are told together.
 	told [][]*wire.Placement
 }
@@ -233,11 +228,7 @@
 		return age < listLimit
 	}
 	listed, _ := msh.before()
-	direct := directNodes
-	if msh.answered > farStore {
-		direct = directFar
-	}
-	return listed >= readersPerDomain && len(msh.peers) >= direct && age < startLimit+time.Duration(listed)*startStep
+	return listed >= readersPerDomain && len(msh.peers) >= directNodes && age < startLimit+time.Duration(listed)*startStep
 }
 
 // before returns how many nodes of the failure domain read the store before this one: those listed, and of them those that do so now.
