Divide engines among classes of calls by demand

Cause: engines were divided 25/25/50 by constants, and the classes by prompt length and by a constant gap of 140 ms. Where all routes with long prompts have a gap target below 560 ms the half for tolerant calls stayed empty, and the strictest route shared its quarter with long prompts.

Classes now follow the distinct gap targets of the manifest's routes (three at most), and their shares the root of prefill work times (1 + risk to gaps), with slots for the calls in flight. Nodes exchange their demand in digests. The gap during prefill is learned for each service instead of assumed.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -68,6 +68,7 @@
 	options   Options
 	handler   *Handler
 	roster    *roster.Roster
+	balancer  *place.Balancer
 	manifests *follow.Follower
 	instances *follow.Follower
 	mesh      *mesh.Mesh
@@ -90,6 +91,7 @@
 		regions[dom.Name] = dom.Region
 	}
 	balancer := place.New(place.Options{Timers: opt.Timers, FailureDomain: set.FailureDomain, Regions: regions})
+	nod.balancer = balancer
 	pools := conns.NewPools()
 	nod.roster = roster.New(roster.Options{
 		Timers: opt.Timers,
@@ -169,6 +171,7 @@
 		case man.Version <= nod.handler.ManifestVersion():
 			nod.options.Log.Info("manifest not newer", "Record", rec.Version, "Version", man.Version, "Manifest", nod.handler.ManifestVersion())
 		default:
+			nod.setGapTargets(man)
 			nod.handler.SetManifest(man)
 			nod.options.Log.Info("manifest applied", "Version", man.Version, "Record", rec.Version,
 				"Routes", len(man.Routes), "Workspaces", len(man.Accounts))
@@ -176,6 +179,21 @@
 	}
 }
 
+// setGapTargets tells the load balancer the gap targets of the streaming routes to each service with engines.
+func (nod *Node) setGapTargets(man *router.Manifest) {
+	durs := make(map[string][]time.Duration)
+	for _, rou := range man.Routes {
+		for _, bak := range rou.Backends {
+			if rou.Stream && man.Services[bak.Service].Engine != nil {
+				durs[bak.Service] = append(durs[bak.Service], rou.GapTarget)
+			}
+		}
+	}
+	for svc, one := range durs {
+		nod.balancer.SetGapTargets(svc, one)
+	}
+}
+
 // Ready reports whether the node accepts traffic.
 func (nod *Node) Ready() bool {
 	return !nod.stopping.Load() && nod.handler.ManifestVersion() > 0 && nod.instances.Version() > 0
--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -59,6 +60,15 @@
 		}
 		dig.Loads = append(dig.Loads, lod)
 	}
+	for svc, dems := range pes.balancer.LocalDemand() {
+		msg := &wire.ServiceDemand{Service: svc}
+		for _, dem := range dems {
+			msg.Calls = append(msg.Calls, float32(dem.Calls))
+			msg.PrefillTokens = append(msg.PrefillTokens, float32(dem.PrefillTokens))
+			msg.Running = append(msg.Running, float32(dem.Running))
+		}
+		dig.Demands = append(dig.Demands, msg)
+	}
 	for _, crs := range pes.recentCrashes() {
 		dig.Strikes = append(dig.Strikes, &wire.CrashStrike{Request: crs.Digest, Instance: crs.Upstream})
 	}
@@ -83,6 +93,7 @@
 		}
 	}
 	pes.balancer.SetPeerLoads(dig.GetNode(), infs)
+	pes.balancer.SetPeerDemand(dig.GetNode(), decodeDemands(dig.GetDemands()))
 	for _, crs := range dig.GetStrikes() {
 		// The guard drops the repeats of a crash in later digests.
 		pes.guard.Add(guard.Crash{Digest: crs.GetRequest(), Upstream: crs.GetInstance(), At: pes.timers.Now()})
@@ -97,4 +108,28 @@
 // RemovePeer removes the load of a peer that is no longer live.
 func (pes *peerState) RemovePeer(name string) {
 	pes.balancer.SetPeerLoads(name, nil)
+	pes.balancer.SetPeerDemand(name, nil)
+}
+
+// decodeDemands converts the demand in a digest; a message with lists of different lengths or with values that are no
+// demand is dropped.
+func decodeDemands(msgs []*wire.ServiceDemand) (dems map[uint64][]place.Demand) {
+	dems = make(map[uint64][]place.Demand, len(msgs))
+	for _, msg := range msgs {
+		cals, toks, rnn := msg.GetCalls(), msg.GetPrefillTokens(), msg.GetRunning()
+		if len(toks) != len(cals) || len(rnn) != len(cals) || slices.ContainsFunc(slices.Concat(cals, toks, rnn), isNoDemand) {
+			continue
+		}
+		for num := range cals {
+			dems[msg.GetService()] = append(dems[msg.GetService()], place.Demand{
+				Calls: float64(cals[num]), PrefillTokens: float64(toks[num]), Running: float64(rnn[num]),
+			})
+		}
+	}
+	return dems
+}
+
+// isNoDemand reports whether a value cannot be a demand.
+func isNoDemand(val float32) bool {
+	return math.IsNaN(float64(val)) || math.IsInf(float64(val), 0) || val < 0
 }
--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -37,19 +37,19 @@
 	byID  map[uint64]*load
 	// peers holds the latest report of each peer, which is subtracted when the next one arrives.
 	peers map[string]map[uint64]InFlight
-	// partitions holds the partition of each service's engines.
-	partitions map[string]*partition
+	// services holds the classes of calls and the partition of the engines of each service with prompts.
+	services map[string]*service
 }
 
 // New returns a Balancer without any load.
 func New(opt Options) *Balancer {
 	return &Balancer{
-		options:    opt,
-		prefixes:   newPrefixIndex(),
-		loads:      make(map[string]*load),
-		byID:       make(map[uint64]*load),
-		peers:      make(map[string]map[uint64]InFlight),
-		partitions: make(map[string]*partition),
+		options:  opt,
+		prefixes: newPrefixIndex(),
+		loads:    make(map[string]*load),
+		byID:     make(map[uint64]*load),
+		peers:    make(map[string]map[uint64]InFlight),
+		services: make(map[string]*service),
 	}
 }
 
@@ -186,6 +186,11 @@
 	GapTarget time.Duration
 	// Engine describes the engines of the service; nil if the service has no description of them.
 	Engine *router.EngineSpec
+
+	// class and prefillGap are set by Choose: the class of the call, and the usual gap between events during prefill at the
+	// engines of the service.
+	class      class
+	prefillGap time.Duration
 }
 
 // Prefix is a prefix of a prompt.
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -21,14 +21,17 @@
 		ins = bal.choosePlain(cans)
 		return ins, bal.loadOf(ins).reserve(0, req.Ranks.InTime, req, now), true
 	}
-	opt, ok := bal.chooseEngine(req, bal.partition(req.Service, list), avoid)
+	svc, par, cls, gap := bal.serviceState(req, list)
+	req.class, req.prefillGap = cls, gap
+	opt, ok := bal.chooseEngine(req, par, avoid)
 	if !ok {
 		return router.Instance{}, nil, false
 	}
 	lod := opt.load
+	svc.begin(cls, req, opt.prefillTokens, now())
 	bal.prefixes.recordLocal(req.Prefixes, lod.id, false, now())
 	rsv = lod.reserve(opt.prefillTokens, opt.rank, req, now)
-	rsv.Source = opt.source
+	rsv.Source, rsv.service, rsv.class = opt.source, svc, cls
 	rsv.onCached = func() { bal.prefixes.recordLocal(req.Prefixes, lod.id, true, now()) }
 	return opt.Instance, rsv, true
 }
@@ -98,7 +101,7 @@
 // among all engines with the ejected ones. ok is false if all engines are to be avoided.
 func (bal *Balancer) chooseEngine(req Request, par *partition, avoid func(ins router.Instance) bool) (best option, ok bool) {
 	pst := bal.prefixState(req, par)
-	best, ok = bal.cheapest(req, pst, par.candidates(req.class(), pst.longest, pst.holders), avoid, false)
+	best, ok = bal.cheapest(req, pst, par.candidates(req.class, pst.longest, pst.holders), avoid, false)
 	if !ok {
 		best, ok = bal.cheapest(req, pst, par.all(), avoid, false)
 	}
--- a/internal/router/place/cost.go
+++ b/internal/router/place/cost.go
@@ -56,10 +56,8 @@
 	// slowRemaining is the expected remaining duration of a slow period; prefill that takes longer continues at the usual
 	// speed.
 	slowRemaining = 300 * time.Millisecond
-	// shortMismatchCost is the cost of a long prompt at an engine for short ones and the reverse; longMismatchCost is that
-	// between the two classes of long prompts.
-	shortMismatchCost = 0.3
-	longMismatchCost  = 0.3
+	// classMismatchCost is the cost of a call at an engine of another class.
+	classMismatchCost = 0.3
 )
 
 // Penalties at a plain service, as equivalent calls in flight.
@@ -85,17 +83,18 @@
 	opt.cost += cost + positionCost*float64(min(can.position, maxPosition))
 	opt.cost += runningCost*float64(snp.Running) + failureCost*snp.failureRate
 	opt.cost += bal.distanceCost(can.Instance, domainCost, regionCost)
-	opt.cost += req.gapRisk()*(gapMissCost*snp.prefillShare+slowdownCost*(snp.slowdown-1)) + snp.interference(opt.prefillTokens)
-	opt.cost += mismatchCost(req.class(), can.class)
+	opt.cost += req.gapRisk(req.prefillGap)*(gapMissCost*snp.prefillShare+slowdownCost*(snp.slowdown-1)) + snp.interference(opt.prefillTokens)
+	opt.cost += mismatchCost(req.class, can.class)
 	return opt
 }
 
-// gapRisk returns the probability that a call misses its gap target while its engine prefills another prompt.
-func (req Request) gapRisk() float64 {
+// gapRisk returns the probability that a call misses its gap target while its engine prefills another prompt, which
+// usually causes gaps of prefillGap.
+func (req Request) gapRisk(prefillGap time.Duration) float64 {
 	if req.GapTarget <= 0 {
 		return 0
 	}
-	return min(1, float64(defaultPrefillGap)/float64(req.GapTarget))
+	return min(1, float64(prefillGap)/float64(req.GapTarget))
 }
 
 // interference returns the cost of prefilling a number of tokens to the calls that run at the engine.
@@ -146,12 +145,8 @@
 
 // mismatchCost returns the cost of sending a call of one class to an engine of another.
 func mismatchCost(own, oth class) float64 {
-	switch {
-	case own == oth:
+	if own == oth {
 		return 0
-	case own == shortPrompts || oth == shortPrompts:
-		return shortMismatchCost
-	default:
-		return longMismatchCost
 	}
+	return classMismatchCost
 }
--- a/internal/router/place/doc.go
+++ b/internal/router/place/doc.go
@@ -26,11 +26,14 @@
 //
 // # Classes
 //
-// The engines of a service are partitioned among classes of calls: short prompts, long
-// prompts with a strict gap target, and long prompts with a tolerant one. This keeps long
-// prompts away from calls whose events they would delay, especially while an engine is
+// The calls of a service are divided into classes by the gap targets of their routes, and its engines are partitioned
+// among the classes. This keeps long prompts away from calls whose events they would delay, especially while an engine is
 // slow. A call may use an engine of another class at an extra cost.
 //
+// The share of a class follows from its demand: the prefill work of its calls, the risk to their gaps, and the slots
+// that they occupy. Nodes tell each other the demand that they see, so that they come to nearly the same division, and
+// move its boundaries in small steps; see divide.
+//
 // # Ranks
 //
 // Engines prefill queued prompts in the order of their rank. A call that will miss its
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -150,7 +150,7 @@
 func (lod *load) reserve(prefillTokens, rank int, req Request, now func() time.Time) *Reservation {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	rsv := &Reservation{load: lod, now: now, pending: prefillTokens, sentAt: now(), gapRisk: req.gapRisk()}
+	rsv := &Reservation{load: lod, now: now, pending: prefillTokens, sentAt: now(), gapRisk: req.gapRisk(req.prefillGap)}
 	if lod.failureStreak > 0 && !lod.ejectedUntil.IsZero() {
 		lod.probing = true
 		rsv.probe = true
--- a/internal/router/place/partition.go
+++ b/internal/router/place/partition.go
@@ -11,53 +11,24 @@
 )
 
 const (
-	// shortShare and strictShare are the shares of the engines in the classes shortPrompts and strictGaps; the rest is in
-	// tolerantGaps.
-	shortShare  = 0.25
-	strictShare = 0.25
 	// maxOwnClass and maxOtherClass are how many engines of a call's own class and of each other class are candidates for
 	// it. More would cost every call time and let nodes with the same load data choose the same engine.
 	maxOwnClass   = 16
 	maxOtherClass = 8
-	// longPromptTokens is the length from which a prompt noticeably delays the events of other calls.
-	longPromptTokens = 4000
-	// tolerantFactor is the minimum ratio of a call's gap target to defaultPrefillGap in the class tolerantGaps; slow
-	// periods stretch gaps two to three times.
-	tolerantFactor = 4
 	// minNearEngines is the number of engines from which short prompts stay in the region; fewer do not even out its load.
 	minNearEngines = 4
 )
 
-// class groups calls by their effect on other calls at an engine and by how the other calls affect them.
+// class is the index of a class of calls, in ascending order of the gap target.
 type class int
 
-// The values of class, in the order in which engines are assigned to them.
-const (
-	// shortPrompts is for calls with short prompts.
-	shortPrompts class = iota
-	// strictGaps is for calls with long prompts that miss their gap target while their engine prefills other prompts.
-	strictGaps
-	// tolerantGaps is for calls with long prompts that accept long gaps.
-	tolerantGaps
-)
-
-// class returns the class of a call.
-func (req Request) class() class {
-	switch {
-	case req.PromptTokens < longPromptTokens:
-		return shortPrompts
-	case req.GapTarget > 0 && req.GapTarget < tolerantFactor*defaultPrefillGap:
-		return strictGaps
-	default:
-		return tolerantGaps
-	}
-}
-
 // engine is an instance of a service whose calls have prompts.
 type engine struct {
 	router.Instance
 
 	load *load
+	// service is the service of the engine.
+	service *service
 	// hash is the hash of the instance's ID.
 	hash  uint64
 	class class
@@ -70,42 +41,28 @@
 type partition struct {
 	// list is the instances from which the partition was built.
 	list    []router.Instance
-	classes [tolerantGaps + 1][]*engine
+	classes [][]*engine
 	byID    map[uint64]*engine
 }
 
-// partition returns the partition of a list of instances, which is cached until the service has another list.
-func (bal *Balancer) partition(service string, list []router.Instance) (par *partition) {
-	bal.mut.Lock()
-	par = bal.partitions[service]
-	bal.mut.Unlock()
-	if par != nil && len(par.list) == len(list) && &par.list[0] == &list[0] {
-		return par
-	}
-	par = bal.newPartition(list)
-	bal.mut.Lock()
-	defer bal.mut.Unlock()
-	bal.partitions[service] = par
-	return par
-}
-
-// newPartition assigns each instance to a class.
-func (bal *Balancer) newPartition(list []router.Instance) (par *partition) {
-	par = &partition{list: list, byID: make(map[uint64]*engine, len(list))}
+// newPartition assigns each instance to a class. The engines of a class are those between its boundary and the one before.
+func (bal *Balancer) newPartition(list []router.Instance, bounds []float64, svc *service) (par *partition) {
+	par = &partition{list: list, classes: make([][]*engine, len(bounds)), byID: make(map[uint64]*engine, len(list))}
 	ord := make([]*engine, 0, len(list))
 	for _, ins := range list {
-		eng := &engine{Instance: ins, load: bal.loadOf(ins), hash: xxhash.Sum64String(ins.ID), remote: bal.remote(ins)}
+		eng := &engine{Instance: ins, load: bal.loadOf(ins), service: svc, hash: xxhash.Sum64String(ins.ID), remote: bal.remote(ins)}
 		par.byID[eng.load.id] = eng
 		ord = append(ord, eng)
 	}
 	interleaveDomains(ord)
-	fst := max(1, int(math.Round(shortShare*float64(len(ord)))))
-	snd := max(fst, int(math.Round((shortShare+strictShare)*float64(len(ord)))))
-	par.classes[shortPrompts], par.classes[strictGaps], par.classes[tolerantGaps] = ord[:fst], ord[fst:snd], ord[snd:]
-	for cls, engs := range par.classes {
-		for _, eng := range engs {
+	start := 0
+	for cls, bnd := range bounds {
+		end := max(start, min(len(ord), int(math.Round(bnd*float64(len(ord))))))
+		par.classes[cls] = ord[start:end]
+		for _, eng := range ord[start:end] {
 			eng.class = class(cls)
 		}
+		start = end
 	}
 	return par
 }
@@ -142,7 +99,7 @@
 		if cls == own {
 			limit = maxOwnClass
 		}
-		for _, eng := range topRanked(prefix, par.classes[cls], limit, own == shortPrompts && par.nearEngines(cls) >= minNearEngines) {
+		for _, eng := range topRanked(prefix, par.classes[cls], limit, own == 0 && par.nearEngines(cls) >= minNearEngines) {
 			seen[eng.load.id] = true
 			res = append(res, candidate{engine: eng, position: len(res)})
 		}
--- a/internal/router/place/reservation.go
+++ b/internal/router/place/reservation.go
@@ -26,6 +26,9 @@
 	onCached func()
 	load     *load
 	now      func() time.Time
+	// service and class identify the demand that the call is part of; service is nil for plain calls.
+	service *service
+	class   class
 	// pending is how many tokens of the call the engine still has to prefill.
 	pending int
 	// firstEventWork is how many tokens the engine had to prefill until the call's first event, as of sentAt.
@@ -61,6 +64,9 @@
 		lod.prefillRate = defaultRate
 	}
 	lod.prefillRate += rateWeight * (rate - lod.prefillRate)
+	if rsv.service != nil {
+		rsv.service.speed.observeRate(rate)
+	}
 }
 
 // ObserveEvent reports an event of the response; its gap to the event before updates the slowdown of the engine.
@@ -77,13 +83,21 @@
 	pending := all.Pending.total()
 	if !rsv.lastEvent.IsZero() {
 		lod.gaps.observe(now.Sub(rsv.lastEvent), max(rsv.lastPending, pending), now)
+		if rsv.service != nil && max(rsv.lastPending, pending) >= fullPrefillTokens {
+			rsv.service.speed.observeGap(lod.gaps.prefillGap)
+		}
 	}
 	rsv.lastEvent, rsv.lastPending = now, pending
 }
 
 // Release ends the reservation with the call's result; further calls do nothing.
 func (rsv *Reservation) Release(res Result) {
-	rsv.once.Do(func() { rsv.load.release(rsv, res) })
+	rsv.once.Do(func() {
+		rsv.load.release(rsv, res)
+		if rsv.service != nil {
+			rsv.service.end(rsv.class, rsv.now())
+		}
+	})
 }
 
 // Result is how a call at an upstream ended.
