Stop fetching known deletions and restoring deleted records

And an answer of a peer that arrived after a deletion put the record back, because the deletion's version was not compared.

Both tests fail before. Ruled out: ignoring deletions of unknown records in the peer's answer (the version would still lag).

--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -272,7 +272,7 @@
 // apply merges changes, passes those that are new to Options.Apply, and returns their number.
 func (fol *Follower) apply(chs router.Changes, fromStore bool) (num int) {
 	fol.mut.Lock()
-	upd := Update{Changed: fol.merge(chs)}
+	upd := Update{Changed: fol.merge(chs, fromStore)}
 	if fromStore {
 		upd.StoreRecovered = !fol.failingSince.IsZero()
 		fol.failingSince = time.Time{}
@@ -285,6 +285,7 @@
 	fol.version = max(fol.version, chs.Version)
 	fol.loaded = true
 	fol.recordVersions(upd.Changed)
+	fol.recordKnown(chs)
 	version := fol.version
 	if len(upd.Changed) > 0 || upd.StoreRecovered {
 		// Called under the lock, so that updates are applied in order.
@@ -316,9 +317,26 @@
 	clear(fol.deletions)
 }
 
+// recordKnown updates the versions by received changes that the copy already had, such as the deletion of a record that it
+// does not hold. Otherwise this node would fetch them from peers again and again.
+func (fol *Follower) recordKnown(chs router.Changes) {
+	if chs.Snapshot {
+		return
+	}
+	for _, rec := range chs.Records {
+		fol.lastChange = max(fol.lastChange, rec.Version)
+		if _, fnd := fol.records[rec.Key]; rec.Deleted && !fnd {
+			fol.deletions[rec.Key] = max(fol.deletions[rec.Key], rec.Version)
+		}
+	}
+}
+
 // merge adds the changes that are newer than the copy and returns them. Records that are missing
 // from a snapshot count as deleted.
-func (fol *Follower) merge(chs router.Changes) (changed []router.Record) {
+//
+// A record from a peer that the copy does not hold, although the copy is current to the record's version, was deleted since:
+// the peer's answer was on its way longer than the deletion.
+func (fol *Follower) merge(chs router.Changes, fromStore bool) (changed []router.Record) {
 	if chs.Snapshot && chs.Version < fol.version {
 		return nil
 	}
@@ -326,7 +344,8 @@
 	for _, rec := range chs.Records {
 		seen[rec.Key] = true
 		old, fnd := fol.records[rec.Key]
-		if rec.Version <= old.Version || rec.Deleted && !fnd {
+		outdated := !fnd && !fromStore && !chs.Snapshot && rec.Version <= fol.version
+		if rec.Version <= old.Version || rec.Deleted && !fnd || outdated {
 			continue
 		}
 		if rec.Deleted {
--- a/internal/router/follow/follow_test.go
+++ b/internal/router/follow/follow_test.go
@@ -265,3 +265,47 @@
 	one.MergePeer(router.Changes{Version: 9, Snapshot: true, Records: []router.Record{{Key: "c", Value: []byte("new"), Version: 8}}})
 	sync()
 }
+
+// TestKnownDeletionIsNotFetchedAgain has one node read a snapshot after a deletion of which the other received the record.
+// The nodes give the deletion different versions. It guards against a node that fetches the changes of the other for ever.
+func TestKnownDeletionIsNotFetchedAgain(t *testing.T) {
+	newFollower := func() *follow.Follower {
+		return follow.New(follow.Options{Log: slog.New(slog.DiscardHandler), Apply: func(follow.Update) {}})
+	}
+	one, two := newFollower(), newFollower()
+	first := router.Changes{Version: 3, Snapshot: true, Records: []router.Record{{Key: "a", Version: 1}, {Key: "b", Version: 3}}}
+	one.MergePeer(first)
+	two.MergePeer(first)
+	two.MergePeer(router.Changes{Version: 4, Records: []router.Record{{Key: "a", Version: 4, Deleted: true}}})
+	one.MergePeer(router.Changes{Version: 9, Snapshot: true, Records: []router.Record{{Key: "b", Version: 3}}})
+	for range 2 {
+		two.MergePeer(one.ChangesSince(two.LastChange()))
+		one.MergePeer(two.ChangesSince(one.LastChange()))
+	}
+	if one.LastChange() != two.LastChange() {
+		t.Errorf("the newest changes are %d and %d", one.LastChange(), two.LastChange())
+	}
+}
+
+// TestLateChangesDoNotRestoreDeletedRecord guards against an answer of a peer that arrives after a deletion and restores the
+// record until the next snapshot.
+func TestLateChangesDoNotRestoreDeletedRecord(t *testing.T) {
+	cases := map[string]struct {
+		late router.Changes
+		want int
+	}{
+		"older than the deletion": {router.Changes{Version: 5, Records: []router.Record{{Key: "a", Version: 5}}}, 0},
+		"written again since":     {router.Changes{Version: 8, Records: []router.Record{{Key: "a", Version: 8}}}, 1},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			fol := follow.New(follow.Options{Log: slog.New(slog.DiscardHandler), Apply: func(follow.Update) {}})
+			fol.MergePeer(router.Changes{Version: 4, Snapshot: true, Records: []router.Record{{Key: "a", Version: 4}}})
+			fol.MergePeer(router.Changes{Version: 7, Records: []router.Record{{Key: "a", Version: 7, Deleted: true}}})
+			fol.MergePeer(cas.late)
+			if got := len(fol.Snapshot().Records); got != cas.want {
+				t.Errorf("%d records, want %d", got, cas.want)
+			}
+		})
+	}
+}
