Keep live nodes of large fleets live, and bound the log of transitions

Cause: the pause between digests counted all peers as recipients although most get each second or fourth digest, and a peer counted as lost two seconds after its last digest.

The pause now follows from the digests really sent (0.67 s at 295 nodes), the timeout from the pause, and digests name some live peers of the sender's failure domain, so that nodes of other domains need not be heard themselves. The budget is divided by the nodes listed or heard, live or not, and by 1,000 while the list is unknown. A series of transitions of one kind is one line a second and node after the first five. A copy's answer is judged by its status first, and an oversized digest no longer ends the round.

Ruled out: a timeout by the pause between a peer's own digests (10.8 s for other regions); mentions in the same order on all nodes (9,890 false losses in 30 s); a timeout that falls with the pause at once (4 false losses in 18,000 pairs).

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -42,11 +42,12 @@
 	// exitMargin is the part of the grace period kept for the exit of the process.
 	exitMargin = 600 * time.Millisecond
 	// retryBudgetFactor scales RetryShare and RetryReserve, the retries that the settings allow all
-	// nodes together. Each node gets RetryReserve divided by the number of live nodes (at least two);
+	// nodes together. Each node gets RetryReserve divided by the number of nodes (at least two);
 	// while the nodes' counts of these lag, the parts could otherwise add up to more than the whole.
 	retryBudgetFactor = 0.7
-	// assumedNodes divides RetryReserve until the first update with the number of live nodes.
-	assumedNodes = 8
+	// assumedNodes divides RetryReserve while the number of nodes is unknown. It is above the size of the largest fleet, so
+	// that nodes which know little spend little.
+	assumedNodes = 1000
 	// retryBudgetInterval is how often the node's part of RetryReserve is updated.
 	retryBudgetInterval = time.Second
 )
@@ -231,7 +232,7 @@
 	}
 	grp.Add(func() error { return nod.mesh.Run(ctx) }, func(error) { cancel() })
 	defer nod.options.Timers.Every(retryBudgetInterval, func(time.Time) {
-		nod.budget.SetMaxTokens(retryBudgetFactor * nod.settings.Load().Platform.RetryReserve / float64(max(nod.mesh.LiveNodes(), 2)))
+		nod.budget.SetMaxTokens(retryBudgetFactor * nod.settings.Load().Platform.RetryReserve / float64(divisor(nod.mesh.FleetSize())))
 	})()
 	nod.addSignalHandler(&grp, srv)
 	nod.options.Log.Info("node started", "Listen", set.Listen, "FailureDomain", set.FailureDomain, "Region", set.Region)
@@ -249,6 +250,15 @@
 	return err
 }
 
+// divisor returns the number by which a limit of the whole fleet is divided, given the number of nodes or zero if that is
+// unknown.
+func divisor(nodes int) int {
+	if nodes == 0 {
+		return assumedNodes
+	}
+	return max(nodes, 2)
+}
+
 // errStopped ends the run group after a graceful stop.
 var errStopped = errors.New("graceful stop")
 
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -141,13 +141,13 @@
 	if err != nil {
 		return 0, err
 	}
+	if rsp.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("unexpected status %d", rsp.StatusCode)
+	}
 	var msg wire.Copy
 	if err := proto.Unmarshal(txt, &msg); err != nil {
 		return 0, err
 	}
-	if rsp.StatusCode != http.StatusOK {
-		return 0, errors.Errorf("unexpected status %d", rsp.StatusCode)
-	}
 	chs := router.Changes{Version: msg.GetVersion(), Snapshot: msg.GetWhole(), AfterOutage: msg.GetAfterOutage()}
 	for _, rec := range msg.GetRecords() {
 		chs.Records = append(chs.Records, router.Record{Key: rec.GetKey(), Value: rec.GetValue(), Version: rec.GetVersion(), Deleted: rec.GetDeleted()})
--- a/internal/router/mesh/members.go
+++ b/internal/router/mesh/members.go
@@ -148,7 +148,7 @@
 	msh.recordVersion = own
 	for nam, per := range msh.peers {
 		if !listed[nam] && !per.live {
-			delete(msh.peers, nam)
+			msh.removePeer(nam)
 		}
 	}
 }
@@ -167,8 +167,7 @@
 	defer msh.mut.Unlock()
 	per := msh.peers[mem.Name]
 	if per == nil {
-		per = &peer{}
-		msh.peers[mem.Name] = per
+		per = msh.addPeer(mem.Name)
 	}
 	if per.recordVersion != version {
 		per.recordSeen, per.recordVersion = msh.options.Timers.Now(), version
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -129,7 +129,7 @@
 		"all watch the store":              {digest: &wire.Digest{FailureDomain: "domain", Reads: true}, hasReaders: true},
 		"the watch of one fails":           {digest: &wire.Digest{FailureDomain: "domain"}},
 		"one stops":                        {digest: &wire.Digest{FailureDomain: "domain", Reads: true, Stopping: true}},
-		"all are silent":                   {digest: &wire.Digest{FailureDomain: "domain", Reads: true}, silence: peerTimeout + time.Millisecond},
+		"all are silent":                   {digest: &wire.Digest{FailureDomain: "domain", Reads: true}, silence: minPeerTimeout + time.Millisecond},
 		"one is in another failure domain": {digest: &wire.Digest{FailureDomain: "other", Reads: true}},
 	}
 	for name, cas := range cases {
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -23,8 +25,15 @@
 	minDigestInterval = 100 * time.Millisecond
 	// digestIntervalPerPeer limits a node to 200 datagrams a second however many peers it has.
 	digestIntervalPerPeer = 5 * time.Millisecond
-	// peerTimeout is how long after its last digest a peer counts as live.
-	peerTimeout = 2 * time.Second
+	// minPeerTimeout is the shortest time after its last digest in which a peer counts as live. In large fleets digests are
+	// rarer, and a peer counts as live for missedDigests intervals.
+	minPeerTimeout = 2 * time.Second
+	missedDigests  = 4
+	// timeoutDecay is the factor by which the timeout of peers may fall from one digest to the next.
+	timeoutDecay = 0.97
+	// mentionsPerDigest is how many live peers of its failure domain a node names in a digest. They show nodes of other
+	// domains, which get few digests of each single peer, that these peers are live.
+	mentionsPerDigest = 16
 	// deadPeerEvery means that a peer that is not live gets only each tenth digest.
 	deadPeerEvery = 10
 	// readersPerDomain is how many nodes of a failure domain watch the store; the others get its
@@ -96,6 +105,13 @@
 	// recentPlacements holds the placements of the last digests. A peer that gets every second or
 	// fourth digest gets the placements of two or four digests together.
 	recentPlacements [][]*wire.Placement
+	// byMention holds the peers by mentionHash of their names, and mentioned when a digest from each other failure domain
+	// last named peers there.
+	byMention   map[uint32]*peer
+	mentioned   map[string]time.Time
+	transitions transitionLog
+	// timeout is how long a peer counts as live without being heard.
+	timeout time.Duration
 }
 
 // peer is another node that has a member record, sent a digest, or both.
@@ -105,7 +121,11 @@
 	incarnation int64
 	sequence    uint64
 	lastDigest  time.Time
-	live        bool
+	// lastMention is when a digest of another node of the peer's failure domain named the peer as live.
+	lastMention time.Time
+	// lostAt is when the peer last stopped being live.
+	lostAt time.Time
+	live   bool
 	// recordVersion is the store's version of the member record, zero without one; recordSeen is
 	// when that version was first read.
 	recordSeen    time.Time
@@ -119,13 +139,29 @@
 // New returns a Mesh without peers.
 func New(opt Options) *Mesh {
 	now := opt.Timers.Now()
-	msh := &Mesh{options: opt, started: now, incarnation: now.UnixNano(), peers: make(map[string]*peer)}
+	msh := &Mesh{
+		options: opt, started: now, incarnation: now.UnixNano(),
+		peers: make(map[string]*peer), byMention: make(map[uint32]*peer), mentioned: make(map[string]time.Time),
+	}
+	msh.transitions, msh.timeout = transitionLog{log: opt.Log}, minPeerTimeout
 	for knd, fol := range opt.Copies {
 		msh.copiers = append(msh.copiers, &copier{kind: knd, follower: fol})
 	}
 	return msh
 }
 
+// FleetSize returns the number of nodes that share the fleet's limits, this one included: those that are listed in the
+// store or were heard, live or not, because a silent node may still serve. It returns zero as long as the member list was
+// not read.
+func (msh *Mesh) FleetSize() (num int) {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	if !msh.membersRead {
+		return 0
+	}
+	return len(msh.peers) + 1
+}
+
 // LiveNodes returns the number of live nodes, including this one.
 func (msh *Mesh) LiveNodes() (num int) {
 	msh.mut.Lock()
@@ -168,11 +204,103 @@
 	return nil
 }
 
-// digestInterval returns the pause until the next digest, which grows with the number of peers.
+// digestInterval returns the pause until the next digest, which grows with the number of peers that get it.
 func (msh *Mesh) digestInterval() time.Duration {
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
-	return max(minDigestInterval, time.Duration(len(msh.peers))*digestIntervalPerPeer)
+	return msh.interval()
+}
+
+// interval returns the pause between digests; the caller holds the lock.
+func (msh *Mesh) interval() time.Duration {
+	recipients := 0.0
+	for _, per := range msh.peers {
+		evr := msh.digestEvery(per.member.FailureDomain)
+		if !per.live {
+			evr = deadPeerEvery
+		}
+		recipients += 1 / float64(evr)
+	}
+	return max(minDigestInterval, time.Duration(recipients*float64(digestIntervalPerPeer)))
+}
+
+// updateTimeout updates how long a peer counts as live without being heard; the caller holds the lock. Other nodes are
+// assumed to send digests as often as this one. When many nodes die at once this one may notice earlier than others, which
+// still send as rarely as before; so the timeout falls slowly.
+func (msh *Mesh) updateTimeout() {
+	msh.timeout = max(minPeerTimeout, missedDigests*msh.interval(), time.Duration(timeoutDecay*float64(msh.timeout)))
+}
+
+// isSilent reports whether a peer has been silent for the timeout; the caller holds the lock. Peers of another failure domain also count as heard when a digest from that domain
+// names them, so that their timeout need not grow with the pause between their own digests.
+func (msh *Mesh) isSilent(per *peer, now time.Time) bool {
+	limit := msh.timeout
+	if now.Sub(per.lastDigest) <= limit || now.Sub(per.lastMention) <= limit {
+		return false
+	}
+	domain := per.member.FailureDomain
+	if domain == msh.options.Self.FailureDomain || now.Sub(msh.mentioned[domain]) <= limit/2 {
+		return true
+	}
+	return now.Sub(per.lastDigest) > time.Duration(msh.digestEvery(domain))*limit
+}
+
+// addMentions adds the hashes of live peers of the own failure domain to a digest, other ones each time; the caller holds
+// the lock.
+func (msh *Mesh) addMentions(dig *wire.Digest, now time.Time) {
+	var live []uint32
+	for nam, per := range msh.peers {
+		if per.live && per.member.FailureDomain == msh.options.Self.FailureDomain && now.Sub(per.lastDigest) <= minPeerTimeout {
+			live = append(live, mentionHash(nam))
+		}
+	}
+	slices.Sort(live)
+	// Nodes that send at the same time should name different peers.
+	start := xxhash.Sum64String(msh.options.Self.Name + strconv.FormatUint(msh.sequence, 10))
+	for num := range min(len(live), mentionsPerDigest) {
+		dig.LivePeers = append(dig.LivePeers, live[(start+uint64(num))%uint64(len(live))])
+	}
+}
+
+// acceptMentions updates the peers that a digest names as live and returns those that were not; the caller holds the lock.
+// A peer that was lost a short time ago is not live again, because the digest may have been sent before others lost it.
+func (msh *Mesh) acceptMentions(dig *wire.Digest, now time.Time) (found []string) {
+	domain := dig.GetFailureDomain()
+	if len(dig.GetLivePeers()) == 0 || domain == msh.options.Self.FailureDomain {
+		return nil
+	}
+	msh.mentioned[domain] = now
+	for _, hash := range dig.GetLivePeers() {
+		per := msh.byMention[hash]
+		if per == nil || per.member.FailureDomain != domain || !per.live && now.Sub(per.lostAt) < msh.timeout {
+			continue
+		}
+		per.lastMention = now
+		if !per.live {
+			per.live = true
+			found = append(found, per.member.Name)
+		}
+	}
+	return found
+}
+
+// mentionHash returns the hash by which digests name a peer.
+func mentionHash(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
+// addPeer adds a peer without any state; the caller holds the lock.
+func (msh *Mesh) addPeer(name string) (per *peer) {
+	per = &peer{}
+	msh.peers[name] = per
+	msh.byMention[mentionHash(name)] = per
+	return per
+}
+
+// removePeer deletes a peer; the caller holds the lock.
+func (msh *Mesh) removePeer(name string) {
+	delete(msh.peers, name)
+	delete(msh.byMention, mentionHash(name))
 }
 
 // sendDigest sends the state of this node to the peers that are due for it.
@@ -196,7 +324,7 @@
 		txt, err := proto.Marshal(dig)
 		if err != nil || len(txt) > maxDigestBytes {
 			msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
-			return
+			continue
 		}
 		for _, adr := range adrs {
 			// A lost datagram is superseded by the next one.
@@ -266,8 +394,7 @@
 }
 
 // prepareDigest sets the sequence number of the next digest and returns the addresses to send it
-// to, by the interval at which they get digests. It also expires peers that have been silent for
-// peerTimeout.
+// to, by the number of digests since the last one that they got. It also expires silent peers.
 func (msh *Mesh) prepareDigest(dig *wire.Digest) (adrs map[int][]*net.UDPAddr) {
 	adrs = make(map[int][]*net.UDPAddr)
 	now := msh.options.Timers.Now()
@@ -276,14 +403,19 @@
 	msh.sequence++
 	dig.Sequence = msh.sequence
 	dig.Stopping = msh.stopping
+	msh.addMentions(dig, now)
+	msh.updateTimeout()
 	for nam, per := range msh.peers {
-		if per.live && now.Sub(per.lastDigest) > peerTimeout {
-			per.live = false
+		if per.live && msh.isSilent(per, now) {
+			per.live, per.lostAt = false, now
 			expired = append(expired, nam)
 		}
 		evr := msh.digestEvery(per.member.FailureDomain)
-		if per.live && msh.sequence%uint64(evr) == 0 || !per.live && msh.sequence%deadPeerEvery == 0 {
-			adrs[evr] = append(adrs[evr], per.address)
+		if !per.live {
+			evr = deadPeerEvery
+		}
+		if msh.sequence%uint64(evr) == 0 {
+			adrs[min(evr, crossRegionEvery)] = append(adrs[min(evr, crossRegionEvery)], per.address)
 		}
 	}
 	msh.recentPlacements = append(msh.recentPlacements, dig.Placements)
@@ -291,8 +423,9 @@
 	msh.mut.Unlock()
 	for _, nam := range expired {
 		msh.options.Load.RemovePeer(nam)
-		msh.options.Log.Info("node lost", "Peer", nam, "Silence", peerTimeout.String())
+		msh.transitions.add("node lost", nam, now)
 	}
+	msh.transitions.flush(now)
 	return adrs
 }
 
@@ -332,8 +465,7 @@
 	msh.mut.Lock()
 	per := msh.peers[dig.GetNode()]
 	if per == nil {
-		per = &peer{}
-		msh.peers[dig.GetNode()] = per
+		per = msh.addPeer(dig.GetNode())
 	}
 	if dig.GetIncarnation() < per.incarnation || dig.GetIncarnation() == per.incarnation && dig.GetSequence() <= per.sequence {
 		msh.mut.Unlock()
@@ -344,9 +476,14 @@
 	per.address, per.incarnation, per.sequence = adr, dig.GetIncarnation(), dig.GetSequence()
 	per.lastDigest, per.live, per.copyVersions = msh.options.Timers.Now(), true, dig.GetVersions()
 	per.watchesStore = dig.GetReads() && !dig.GetStopping()
+	now := per.lastDigest
+	found := msh.acceptMentions(dig, now)
 	msh.mut.Unlock()
 	if isNew {
-		msh.options.Log.Info("node heard", "Peer", dig.GetNode(), "Address", dig.GetAddress(), "Incarnation", dig.GetIncarnation())
+		found = append(found, dig.GetNode())
+	}
+	for _, nam := range found {
+		msh.transitions.add("node heard", nam, now)
 	}
 	return true
 }
