Send fewer digests between regions and fewer calls at the start

Other regions get each tenth digest, in turn; digests to other domains name up to 64 live peers; a node that has just started waits three seconds before it watches the store if enough nodes rank before it. Nodes that were never heard get digests as live ones do. More than 64 upstreams at once are one log line.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -148,13 +148,16 @@
 // recordsFromPeers reports whether peers pass on the store's records, so that this node need not
 // watch it.
 func (nod *Node) recordsFromPeers() bool {
-	return nod.mesh.HasStoreReaders()
+	return nod.mesh.HasStoreReaders() || nod.manifests.Version() > 0 && nod.mesh.DeferWatch()
 }
 
 // instancesFromPeers reports the same for the instance records. In a large fleet few nodes read
 // these from the store at the start, and the others get their first copy from peers.
 func (nod *Node) instancesFromPeers() bool {
-	return nod.mesh.HasStoreReaders() || nod.instances.Version() == 0 && nod.mesh.DeferInitialRead()
+	if nod.instances.Version() == 0 {
+		return nod.mesh.HasStoreReaders() || nod.mesh.DeferInitialRead()
+	}
+	return nod.mesh.HasStoreReaders() || nod.mesh.DeferWatch()
 }
 
 // applyManifest puts a changed manifest in force unless its version is not newer. A deleted record
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -33,8 +33,8 @@
 	timeoutDecay = 0.97
 	// mentionsPerDigest is how many live peers of its failure domain a node names in a digest. They show nodes of other
 	// domains, which get few digests of each single peer, that these peers are live.
-	mentionsPerDigest = 16
-	// deadPeerEvery means that a peer that is not live gets only each tenth digest.
+	mentionsPerDigest = 64
+	// deadPeerEvery means that a lost peer gets only each tenth digest.
 	deadPeerEvery = 10
 	// readersPerDomain is how many nodes of a failure domain watch the store; the others get its
 	// changes from them. A watch whose response is lost delivers nothing until its call times out,
@@ -50,10 +50,13 @@
 	memberListTimeout = 300 * time.Millisecond
 	// minPeersToDefer is the number of peers below which every node does its initial read itself.
 	minPeersToDefer = 128
-	// crossDomainEvery means that a peer in another failure domain of the region gets only each
-	// second digest; crossRegionEvery means that one in another region gets only each fourth.
+	// watchDelay is how long after its start a node leaves watching the store to the nodes that rank before it, until
+	// their digests show that they do so.
+	watchDelay = 3 * time.Second
+	// crossDomainEvery means that a peer in another failure domain of the region gets only each second digest.
+	// crossRegionEvery means that one in another region gets only each tenth: traffic between regions is expensive.
 	crossDomainEvery = 2
-	crossRegionEvery = 4
+	crossRegionEvery = 10
 	// maxDigestBytes bounds a digest, which is sent as one datagram.
 	maxDigestBytes = 60 << 10
 )
@@ -103,7 +106,7 @@
 	// recordVersion is the store's version of this node's member record; zero while it has none.
 	recordVersion int64
 	// recentPlacements holds the placements of the last digests. A peer that gets every second or
-	// fourth digest gets the placements of two or four digests together.
+	// tenth digest gets the placements of two or ten digests together.
 	recentPlacements [][]*wire.Placement
 	// byMention holds the peers by mentionHash of their names, and mentioned when a digest from each other failure domain
 	// last named peers there.
@@ -216,7 +219,7 @@
 	recipients := 0.0
 	for _, per := range msh.peers {
 		evr := msh.digestEvery(per.member.FailureDomain)
-		if !per.live {
+		if !per.live && !per.lostAt.IsZero() {
 			evr = deadPeerEvery
 		}
 		recipients += 1 / float64(evr)
@@ -319,7 +322,13 @@
 		dig.Reads = dig.Reads && fol.OutageDuration() == 0 && !fol.UsesPeers()
 	}
 	msh.options.Load.AddLocal(dig)
-	for evr, adrs := range msh.prepareDigest(dig) {
+	recipients := msh.prepareDigest(dig)
+	mentions := dig.LivePeers
+	for evr, adrs := range recipients {
+		dig.LivePeers = nil
+		if evr > 1 {
+			dig.LivePeers = mentions
+		}
 		dig.Placements = msh.placementsOfLast(evr)
 		txt, err := proto.Marshal(dig)
 		if err != nil || len(txt) > maxDigestBytes {
@@ -376,6 +385,19 @@
 	return listed >= readersPerDomain && len(msh.peers) >= minPeersToDefer && age < initialReadDelay+time.Duration(listed)*initialReadStep
 }
 
+// DeferWatch reports whether this node, which started a short time ago and has read the store, leaves watching it to nodes
+// that rank before it and may not have been heard yet.
+func (msh *Mesh) DeferWatch() bool {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	age := msh.options.Timers.Now().Sub(msh.started)
+	if !msh.membersRead {
+		return age < memberListTimeout
+	}
+	listed, _ := msh.countPreceding()
+	return listed >= readersPerDomain && age < watchDelay
+}
+
 // countPreceding counts the nodes of the failure domain that rank before this one by the hash of
 // their names: all of them, and the live ones that watch the store.
 func (msh *Mesh) countPreceding() (listed, watching int) {
@@ -398,6 +420,7 @@
 func (msh *Mesh) prepareDigest(dig *wire.Digest) (adrs map[int][]*net.UDPAddr) {
 	adrs = make(map[int][]*net.UDPAddr)
 	now := msh.options.Timers.Now()
+	own := xxhash.Sum64String(msh.options.Self.Name)
 	var expired []string
 	msh.mut.Lock()
 	msh.sequence++
@@ -411,10 +434,11 @@
 			expired = append(expired, nam)
 		}
 		evr := msh.digestEvery(per.member.FailureDomain)
-		if !per.live {
+		if !per.live && !per.lostAt.IsZero() {
 			evr = deadPeerEvery
 		}
-		if msh.sequence%uint64(evr) == 0 {
+		// Nodes that start together send at the same time; a peer should not get their digests all at once.
+		if (msh.sequence+xxhash.Sum64String(nam)+own)%uint64(evr) == 0 {
 			adrs[min(evr, crossRegionEvery)] = append(adrs[min(evr, crossRegionEvery)], per.address)
 		}
 	}
--- a/internal/router/roster/roster.go
+++ b/internal/router/roster/roster.go
@@ -16,6 +16,10 @@
 // A live upstream writes its record again within 2 s of the end of the outage.
 const missingGrace = 2500 * time.Millisecond
 
+// maxAddedLines is the number of changed records up to which each added upstream is logged; the first copy of a large fleet
+// would be a line for each.
+const maxAddedLines = 64
+
 // Options are the dependencies of a Roster.
 type Options struct {
 	Timers router.Timers
@@ -63,6 +67,10 @@
 func (ros *Roster) Apply(upd follow.Update) {
 	ros.mut.Lock()
 	defer ros.mut.Unlock()
+	single := len(upd.Changed) <= maxAddedLines
+	if !single {
+		ros.options.Log.Info("upstreams changed", "Records", len(upd.Changed))
+	}
 	for _, rec := range upd.Changed {
 		switch {
 		case rec.Deleted && upd.StoreRecovered:
@@ -70,13 +78,14 @@
 		case rec.Deleted:
 			ros.remove(rec.Key, "record deleted")
 		default:
-			ros.set(rec)
+			ros.set(rec, single)
 		}
 	}
 	ros.publish()
 }
 
-func (ros *Roster) set(rec router.Record) {
+// set adds or updates the instance of a record; a new one is logged if single is set.
+func (ros *Roster) set(rec router.Record, single bool) {
 	ros.cancelRemoval(rec.Key)
 	ins, err := ros.options.Codec.Instance(rec)
 	if err != nil {
@@ -91,10 +100,10 @@
 	}
 	ros.instances[ins.ID] = ins
 	switch {
-	case !fnd:
+	case !fnd && single:
 		ros.options.Log.Info("upstream added", "Upstream", ins.ID, "Service", ins.Service, "Address", ins.Address,
 			"FailureDomain", ins.FailureDomain, "Draining", ins.Draining, "Version", rec.Version)
-	case ins.Draining != old.Draining:
+	case fnd && ins.Draining != old.Draining:
 		ros.options.Log.Info("upstream draining", "Upstream", ins.ID, "Draining", ins.Draining, "Version", rec.Version)
 	}
 }
