Bound what upstreams and callers in trouble can take of a node

Causes, found by tests that play endless bytes on raw sockets: - the head of an upstream's response was read without a limit (status line, header, any number of 1xx responses): 64 MiB and more before, 64 KiB now; - 14 large bodies at once filled the smallest node: what responses buffer beyond 64 KiB each now comes out of 24 MiB for the node; an event is bounded by 256 KiB; - a rejection whose body never arrived held the call until its deadline instead of being retried; - a caller that announced a body of n bytes took n bytes of memory before it sent any, and could take any time to send it: the buffer grows with what arrives, and the answer after the deadline is 408, not run; - the body of a refusal was no JSON for some messages.

Ruled out by the same tests: chunk sizes, chunk extensions, trailers and bodies beyond their length, which net/http bounds.

--- a/internal/router/conns/conn.go
+++ b/internal/router/conns/conn.go
@@ -47,6 +47,7 @@
 
 	pool        *Pool
 	socket      net.Conn
+	limit       *limitedReader
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -59,10 +60,12 @@
 }
 
 func newConn(pol *Pool, soc net.Conn) *Conn {
-	return &Conn{pool: pol, socket: soc, reader: bufio.NewReaderSize(soc, readBuffer), idleTimeout: defaultIdleTimeout}
+	lim := &limitedReader{source: soc}
+	return &Conn{pool: pol, socket: soc, limit: lim, reader: bufio.NewReaderSize(lim, readBuffer), idleTimeout: defaultIdleTimeout}
 }
 
-// Send sends a request and returns the response with its body unread; informational responses are skipped.
+// Send sends a request and returns the response with its body unread; informational responses are skipped. A response
+// whose header exceeds maxHeadBytes is an error.
 // The connection is closed when the context ends.
 //
 // After an error the upstream may have received the request. The caller either reads the body of the response and
@@ -81,6 +84,8 @@
 	} else if err := con.write(out); err != nil {
 		return nil, err
 	}
+	con.limit.limited, con.limit.left = true, maxHeadBytes
+	defer func() { con.limit.limited = false }()
 	for {
 		rsp, err = http.ReadResponse(con.reader, out)
 		if err != nil {
@@ -107,6 +112,11 @@
 	con.pool.putIdle(con)
 }
 
+// Buffered returns the number of bytes that were received and not read yet.
+func (con *Conn) Buffered() int {
+	return con.reader.Buffered()
+}
+
 // Close closes the connection, which cancels the request at the upstream.
 func (con *Conn) Close() {
 	if con.stopWatch != nil {
--- a/internal/router/conns/conns_test.go
+++ b/internal/router/conns/conns_test.go
@@ -150,3 +150,31 @@
 	}
 	con.Close()
 }
+
+// TestEndlessHeadEndsExchange guards against an upstream in trouble that fills the memory of the node: it sends bytes without
+// end before the end of the response's header.
+func TestEndlessHeadEndsExchange(t *testing.T) {
+	// Far more than the buffers of the kernel hold.
+	const limit = 64 << 20
+	line := strings.Repeat("x", 1000)
+	cases := map[string]struct{ start, text string }{
+		"bytes that are no response": {"", "\x01\x02\x03" + line},
+		"status line":                {"HTTP/1.1 200 ", line},
+		"one header":                 {"HTTP/1.1 200 OK\r\nName: ", line},
+		"many headers":               {"HTTP/1.1 200 OK\r\n", "Name: " + line + "\r\n"},
+		"folded header":              {"HTTP/1.1 200 OK\r\nName: a\r\n", " " + line + "\r\n"},
+		"informational responses":    {"", "HTTP/1.1 103 Early Hints\r\nName: " + line + "\r\n\r\n"},
+		"empty lines":                {"HTTP/1.1 200 OK\r\n", "\x00\r"},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			srv := fakes.NewEndlessServer(t, cas.start, cas.text, limit)
+			if _, err := exchange(t, conns.NewPools().Pool("key", srv.Address), "body"); err == nil {
+				t.Error("the response counts as complete")
+			}
+			if got := srv.Sent.Load(); got >= limit {
+				t.Errorf("%d bytes were read", got)
+			}
+		})
+	}
+}
--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -1,11 +1,12 @@
 package edge
 
 import (
+	"bytes"
 	"errors"
-	"io"
 	"log/slog"
 	"math"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,13 @@
 // defaultMaxBodyBytes limits a request body where the manifest sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
+const (
+	// bodyTimeout is how long a caller may take to send a request body, if its deadline is not earlier.
+	bodyTimeout = 30 * time.Second
+	// initialBodyBuffer bounds the memory that a request takes before any of its body has arrived, in bytes.
+	initialBodyBuffer = 16 << 10
+)
+
 const (
 	// Requests that succeed within their targets are logged at no more than successLogRate lines
 	// per second, with bursts of successLogBurst.
@@ -147,15 +155,23 @@
 	if req.ContentLength > maxBytes {
 		return router.Refuse(http.StatusRequestEntityTooLarge, router.CodeTooLarge, "the body is above %d bytes", maxBytes)
 	}
-	var err error
-	if req.ContentLength > 0 {
-		cal.Body = make([]byte, req.ContentLength)
-		_, err = io.ReadFull(req.Body, cal.Body)
-	} else {
-		cal.Body, err = io.ReadAll(http.MaxBytesReader(wri, req.Body, maxBytes))
-	}
+	end := han.timers.Now().Add(bodyTimeout)
+	if !cal.Deadline.IsZero() && cal.Deadline.Before(end) {
+		end = cal.Deadline
+	}
+	// Without a deadline of the connection, as in tests, the caller may take any time.
+	ctl := http.NewResponseController(wri)
+	_ = ctl.SetReadDeadline(end)
+	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
+	// The buffer grows with the bytes that arrive, not with the length that the caller announces.
+	var buf bytes.Buffer
+	buf.Grow(int(min(max(req.ContentLength, 0), initialBodyBuffer)) + bytes.MinRead)
+	_, err := buf.ReadFrom(http.MaxBytesReader(wri, req.Body, maxBytes))
+	cal.Body = buf.Bytes()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return router.Refuse(http.StatusRequestTimeout, router.CodeDeadline, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return router.Refuse(http.StatusRequestEntityTooLarge, router.CodeTooLarge, "the body is above %d bytes", maxBytes)
 	case err != nil:
--- a/internal/router/edge/handler_test.go
+++ b/internal/router/edge/handler_test.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -229,3 +232,45 @@
 		})
 	}
 }
+
+// TestStalledBodyIsRefused guards against a caller that announces a long body and sends little of it: it must not hold
+// memory for the announced length, nor the request longer than its deadline. The answer says truly that nothing ran.
+func TestStalledBodyIsRefused(t *testing.T) {
+	const announced, callers = 8 << 20, 64
+	scr := fakes.NewScriptedServer(t, answer)
+	tsn := startNode(t, scr.Address, strings.Replace(manifest, "bodybytes: 100", "bodybytes: 16777216", 1))
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	conns := make([]net.Conn, callers)
+	for num := range conns {
+		soc, err := net.Dial("tcp", strings.TrimPrefix(tsn.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = soc.Close() })
+		conns[num] = soc
+		fmt.Fprintf(soc, "POST /plain/x HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: key\r\n%s: 1000\r\nContent-Length: %d\r\n\r\nx",
+			fakes.HeaderID, fakes.HeaderKey, fakes.HeaderTimeLimit, announced)
+	}
+	for tsn.handler.active.Load() < callers {
+		runtime.Gosched()
+	}
+	runtime.ReadMemStats(&during)
+	if grown := int64(during.HeapAlloc) - int64(before.HeapAlloc); grown > callers*announced/8 {
+		t.Errorf("%d callers that announced %d bytes hold %d", callers, announced, grown)
+	}
+	for _, soc := range conns {
+		rsp, err := http.ReadResponse(bufio.NewReader(soc), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rsp.StatusCode != http.StatusRequestTimeout || rsp.Header.Get(router.HeaderOutcome) != string(router.NotRun) {
+			t.Errorf("status %d, outcome %q", rsp.StatusCode, rsp.Header.Get(router.HeaderOutcome))
+		}
+		_ = rsp.Body.Close()
+	}
+	if got := len(scr.Requests()); got > 0 {
+		t.Errorf("%d requests reached the upstream", got)
+	}
+}
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,14 +18,19 @@
 const (
 	// maxResponseBytes bounds a response that is not a stream; it is buffered whole before any of it is relayed.
 	maxResponseBytes = 8 << 20
-	// maxDrainBytes bounds how much of a rejection is read to make its connection reusable.
-	maxDrainBytes = 4 << 10
+	// freeResponseBytes is how much of a response is buffered in any case, and maxBufferedBytes bounds what all responses
+	// together buffer beyond that. The smallest nodes have about 100 MiB.
+	freeResponseBytes = 64 << 10
+	maxBufferedBytes  = 24 << 20
 	// initialEventBuffer is the initial capacity of the buffer for events, in bytes.
 	initialEventBuffer = 1 << 10
 	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
+// refusalBody is the body of a refusal.
+type refusalBody struct{ Code, Message string }
+
 // WriteRefusal writes a refusal to the caller as an HTTP error with a JSON body.
 func WriteRefusal(wri http.ResponseWriter, ref *router.Refusal) {
 	hdr := wri.Header()
@@ -33,19 +39,19 @@
 	if ref.RetryAfter > 0 {
 		hdr.Set("Retry-After", strconv.FormatFloat(ref.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	txt := `{"Code":` + strconv.Quote(ref.Code) + `,"Message":` + strconv.Quote(ref.Message) + "}\n"
+	// Marshalling two strings cannot fail.
+	txt, _ := json.Marshal(refusalBody{Code: ref.Code, Message: ref.Message})
+	txt = append(txt, '\n')
 	hdr.Set("Content-Length", strconv.Itoa(len(txt)))
 	wri.WriteHeader(ref.Status)
-	_, _ = io.WriteString(wri, txt)
+	_, _ = wri.Write(txt)
 }
 
 // relayWhole buffers a response until it is complete and then relays it, so that an incomplete one can still
 // be retried.
 func (act *activeCall) relayWhole(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response) (attemptState, place.Result) {
-	txt, err := io.ReadAll(io.LimitReader(rsp.Body, maxResponseBytes+1))
-	if err == nil && len(txt) > maxResponseBytes {
-		err = errors.Errorf("response exceeds %d bytes", maxResponseBytes)
-	}
+	txt, reserved, err := act.sender.readResponse(rsp)
+	defer act.sender.buffered.Add(-reserved)
 	if err != nil {
 		con.Close()
 		return act.failAttempt(ctx, "answer cut", ins, err)
@@ -79,16 +85,41 @@
 		act.sender.options.Budget.Get(act.job.Service).HasToken()
 }
 
-// drainRejection reads the rest of a rejection so that its connection can be reused.
+// drainRejection reads the body of a rejection so that its connection can be reused, if it has arrived with the header.
+// Otherwise it closes the connection, because a retry must not wait for it.
 func (act *activeCall) drainRejection(con *conns.Conn, rsp *http.Response) {
-	num, err := io.Copy(io.Discard, io.LimitReader(rsp.Body, maxDrainBytes))
-	if err != nil || num == maxDrainBytes {
+	if rsp.ContentLength < 0 || rsp.ContentLength > int64(con.Buffered()) {
+		con.Close()
+		return
+	}
+	if _, err := io.Copy(io.Discard, rsp.Body); err != nil {
 		con.Close()
 		return
 	}
 	con.Release(rsp)
 }
 
+// readResponse reads the body of a response that is not a stream. The caller subtracts reserved from buffered when it no
+// longer needs the body.
+func (snd *Sender) readResponse(rsp *http.Response) (txt []byte, reserved int64, err error) {
+	var buf bytes.Buffer
+	for {
+		num, err := io.CopyN(&buf, rsp.Body, freeResponseBytes)
+		switch {
+		case errors.Is(err, io.EOF):
+			return buf.Bytes(), reserved, nil
+		case err != nil:
+			return nil, reserved, err
+		case buf.Len() > maxResponseBytes:
+			return nil, reserved, errors.Errorf("response exceeds %d bytes", maxResponseBytes)
+		}
+		reserved += num
+		if snd.buffered.Add(num) > maxBufferedBytes {
+			return nil, reserved, errors.Errorf("buffered responses exceed %d bytes", maxBufferedBytes)
+		}
+	}
+}
+
 // relayStream relays server-sent events as they arrive. Only complete events are relayed, so that a stream can
 // resume after the last one.
 func (act *activeCall) relayStream(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response, rsv *place.Reservation) (attemptState, place.Result) {
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -85,6 +86,8 @@
 // Sender sends calls to upstreams and relays the responses to the callers.
 type Sender struct {
 	options Options
+	// buffered is the number of bytes of responses that are held beyond freeResponseBytes each.
+	buffered atomic.Int64
 }
 
 // New returns a Sender.
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -29,14 +29,16 @@
 // The scripted responses. full states that the call was not run; unproven has the same status without that statement.
 // foreign echoes the id of another request, and unsigned lacks the proof that the upstream itself responded.
 const (
-	head     = "HTTP/1.1 200 OK\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\n"
-	whole    = head + "Content-Length: 2\r\n\r\nok"
-	full     = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	failed   = "HTTP/1.1 500 Error\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nno"
-	unproven = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 0\r\n\r\n"
-	foreign  = "HTTP/1.1 200 OK\r\nStand-Id: other\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nok"
-	unsigned = "HTTP/1.1 200 OK\r\nStand-Id: {ID}\r\nContent-Length: 2\r\n\r\nok"
-	events   = head + "Transfer-Encoding: chunked\r\n\r\n"
+	head  = "HTTP/1.1 200 OK\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\n"
+	whole = head + "Content-Length: 2\r\n\r\nok"
+	full  = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	// unfinished is full with a body of which only a part arrives.
+	unfinished = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhalf" + fakes.ThenHang
+	failed     = "HTTP/1.1 500 Error\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nno"
+	unproven   = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 0\r\n\r\n"
+	foreign    = "HTTP/1.1 200 OK\r\nStand-Id: other\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nok"
+	unsigned   = "HTTP/1.1 200 OK\r\nStand-Id: {ID}\r\nContent-Length: 2\r\n\r\nok"
+	events     = head + "Transfer-Encoding: chunked\r\n\r\n"
 	// oneTwo, three and last are chunks of a stream: events 1 and 2, event 3, and the end. half is event 3 without its end.
 	oneTwo = "12\r\nid: 1\na\n\nid: 2\nb\n\n\r\n"
 	three  = "9\r\nid: 3\nc\n\n\r\n"
@@ -113,6 +115,7 @@
 		"error before a stream that resumes":   {router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2}, []string{failed, events + three + last}, 200, "id: 3\nc\n\n", false, 2},
 		"error before a stream that runs once": {router.Route{Stream: true, Attempts: 2}, []string{failed, events + three + last}, 500, "no", false, 1},
 		"full":                                 {router.Route{}, []string{full}, 503, "", false, 1},
+		"full, body never arrives":             {router.Route{Attempts: 2}, []string{unfinished, whole}, 200, "ok", false, 2},
 		"full, then complete":                  {router.Route{Attempts: 2}, []string{full, whole}, 200, "ok", false, 2},
 		"no response, call that runs once":     {router.Route{Attempts: 2}, []string{fakes.ThenClose, whole}, 502, "", false, 1},
 		"no response, idempotent call":         {router.Route{Repeat: router.Idempotent, Attempts: 2}, []string{fakes.ThenClose, whole}, 200, "ok", false, 2},
@@ -297,3 +300,42 @@
 		t.Errorf("status %d, outcome %s, %d sent", rec.Code, rep.Outcome, len(scr.Requests()))
 	}
 }
+
+// TestEndlessResponses guards against an upstream in trouble that fills the memory of the node, holds a call past its
+// deadline, or has a response without an end taken for a complete one.
+func TestEndlessResponses(t *testing.T) {
+	const limit = 64 << 20
+	line := strings.Repeat("x", 1000)
+	stream := head + "Transfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]struct {
+		route       router.Route
+		start, text string
+		aborted     bool
+		status      int
+	}{
+		"body beyond its length":      {start: head + "Content-Length: 2\r\n\r\nok", text: line, status: 200},
+		"body without a length":       {start: head + "\r\n", text: line, status: 502},
+		"body of one huge chunk":      {start: stream + "7fffffff\r\n", text: line, status: 502},
+		"chunk size":                  {start: stream, text: "1", status: 502},
+		"chunk extension":             {start: stream + "2;", text: line, status: 502},
+		"chunks with long extensions": {start: stream, text: "1;" + line + "\r\nx\r\n", status: 502},
+		"trailers":                    {start: stream + "2\r\nok\r\n0\r\n", text: "Name: " + line + "\r\n", status: 502},
+		"error body":                  {start: "HTTP/1.1 500 Error\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\n\r\n", text: line, status: 502},
+		"event without an end":        {route: router.Route{Stream: true}, start: stream + "7fffffff\r\n", text: line, status: 502},
+		"event without an end, after an event": {
+			route: router.Route{Stream: true}, start: stream + "9\r\nid: 1\na\n\n\r\n7fffffff\r\n", text: line, aborted: true, status: 200,
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			srv := fakes.NewEndlessServer(t, strings.ReplaceAll(cas.start, "{ID}", "call"), cas.text, limit)
+			rec, _, aborted := serve(t, cas.route, &fakes.ScriptedServer{Address: srv.Address})
+			if rec.Code != cas.status || aborted != cas.aborted {
+				t.Errorf("status %d, aborted %t; want %d, %t", rec.Code, aborted, cas.status, cas.aborted)
+			}
+			if got := srv.Sent.Load(); got >= limit {
+				t.Errorf("%d bytes were read", got)
+			}
+		})
+	}
+}
