Correct the test of removed loads

Plain calls go by load alone; the test now demands an even split, fails before the fix and passes after.

--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -414,31 +414,30 @@
 // TestRemovedLoadStartsAfresh guards against a negative load, which would attract all calls: an upstream is removed and added
 // again between two reports of a peer.
 func TestRemovedLoadStartsAfresh(t *testing.T) {
+	const calls = 20
 	fix := newFixture(2)
-	_, rsv := fix.choose(t, shortPrompt())
-	fix.choose(t, shortPrompt())
-	infs := fix.LocalLoads()
-	rsv.Release(place.Served)
-	for id, inf := range infs {
-		inf.Running = 1000
+	for range fix.instances {
+		fix.choose(t, place.Request{})
+	}
+	for id, inf := range fix.LocalLoads() {
+		inf.Running = 10 * calls
 		fix.SetPeerLoads("peer", map[uint64]place.InFlight{id: inf})
 	}
 	for _, ins := range fix.instances {
 		fix.Remove(ins)
 	}
-	used := make(map[string]int)
-	for range 2 {
-		ins, _ := fix.choose(t, shortPrompt())
-		used[ins.ID]++
+	for range fix.instances {
+		fix.choose(t, place.Request{})
 	}
 	fix.SetPeerLoads("peer", nil)
-	for range 20 {
-		ins, _ := fix.choose(t, shortPrompt())
+	used := make(map[string]int)
+	for range calls {
+		ins, _ := fix.choose(t, place.Request{})
 		used[ins.ID]++
 	}
 	for id, num := range used {
-		if num > 15 {
-			t.Errorf("%d of 22 calls went to %s", num, id)
+		if num != calls/2 {
+			t.Errorf("%d of %d calls went to %s", num, calls, id)
 		}
 	}
 }
