--- /dev/null
+++ b/internal/router/mesh/digest.go
@@ -0,0 +1,157 @@
+package mesh
+
+import (
+	"context"
+	"net"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+// sendDigest sends the state of this node to the peers that are due for it.
+func (msh *Mesh) sendDigest(soc *net.UDPConn) {
+	self := msh.options.Self
+	dig := &wire.Digest{
+		Node:          self.Name,
+		FailureDomain: self.FailureDomain,
+		Incarnation:   msh.incarnation,
+		Address:       self.Address,
+		Versions:      make(map[string]int64, len(msh.options.Copies)),
+	}
+	dig.Reads = true
+	for knd, fol := range msh.options.Copies {
+		dig.Versions[string(knd)] = fol.LastChange()
+		dig.Reads = dig.Reads && fol.OutageDuration() == 0 && !fol.UsesPeers()
+	}
+	msh.options.Load.AddLocal(dig)
+	recipients := msh.prepareDigest(dig)
+	mentions := dig.LivePeers
+	for evr, adrs := range recipients {
+		dig.LivePeers = nil
+		if evr > 1 {
+			dig.LivePeers = mentions
+		}
+		dig.Placements = msh.placementsOfLast(evr)
+		txt, err := proto.Marshal(dig)
+		if err != nil || len(txt) > maxDigestBytes {
+			msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
+			continue
+		}
+		for _, adr := range adrs {
+			// A lost datagram is superseded by the next one.
+			_, _ = soc.WriteToUDP(txt, adr)
+		}
+	}
+}
+
+// placementsOfLast returns the placements of the given number of last digests.
+func (msh *Mesh) placementsOfLast(digests int) (pls []*wire.Placement) {
+	for _, one := range msh.recentPlacements[max(0, len(msh.recentPlacements)-digests):] {
+		pls = append(pls, one...)
+	}
+	return pls
+}
+
+// prepareDigest sets the sequence number of the next digest and returns the addresses to send it
+// to, by the number of digests since the last one that they got. It also expires silent peers.
+func (msh *Mesh) prepareDigest(dig *wire.Digest) (adrs map[int][]*net.UDPAddr) {
+	adrs = make(map[int][]*net.UDPAddr)
+	now := msh.options.Timers.Now()
+	own := xxhash.Sum64String(msh.options.Self.Name)
+	var expired []string
+	msh.mut.Lock()
+	msh.sequence++
+	dig.Sequence = msh.sequence
+	dig.Stopping = msh.stopping
+	msh.addMentions(dig, now)
+	msh.updateTimeout()
+	for nam, per := range msh.peers {
+		if per.live && msh.isSilent(per, now) {
+			per.live, per.lostAt = false, now
+			expired = append(expired, nam)
+		}
+		evr := msh.digestEvery(per.member.FailureDomain)
+		if !per.live && !per.lostAt.IsZero() {
+			evr = deadPeerEvery
+		}
+		// Nodes that start together send at the same time; a peer should not get their digests all at once.
+		if (msh.sequence+xxhash.Sum64String(nam)+own)%uint64(evr) == 0 {
+			adrs[min(evr, crossRegionEvery)] = append(adrs[min(evr, crossRegionEvery)], per.address)
+		}
+	}
+	msh.recentPlacements = append(msh.recentPlacements, dig.Placements)
+	msh.recentPlacements = msh.recentPlacements[max(0, len(msh.recentPlacements)-crossRegionEvery):]
+	msh.mut.Unlock()
+	for _, nam := range expired {
+		msh.options.Load.RemovePeer(nam)
+		msh.transitions.add("node lost", nam, now)
+	}
+	msh.transitions.flush(now)
+	return adrs
+}
+
+func (msh *Mesh) receiveDigests(ctx context.Context, soc *net.UDPConn) {
+	buf := make([]byte, maxDigestBytes)
+	for ctx.Err() == nil {
+		num, _, err := soc.ReadFromUDP(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				msh.options.Log.Warn("datagram not received", "Error", err.Error())
+				timer.Sleep(ctx, minDigestInterval)
+			}
+			continue
+		}
+		var dig wire.Digest
+		if err := proto.Unmarshal(buf[:num], &dig); err != nil || dig.GetNode() == "" {
+			msh.options.Log.Info("datagram ignored", "Bytes", num)
+			continue
+		}
+		if msh.acceptDigest(&dig) {
+			msh.options.Load.SetPeer(&dig)
+			msh.fetchNewerCopies(ctx, &dig)
+		}
+	}
+}
+
+// acceptDigest updates the sender of a digest and reports whether the digest is newer than the last
+// one of that node.
+func (msh *Mesh) acceptDigest(dig *wire.Digest) bool {
+	if dig.GetNode() == msh.options.Self.Name {
+		return false
+	}
+	adr, err := net.ResolveUDPAddr("udp4", dig.GetAddress())
+	if err != nil {
+		return false
+	}
+	msh.mut.Lock()
+	per := msh.peers[dig.GetNode()]
+	if per == nil {
+		per = msh.addPeer(dig.GetNode())
+	}
+	// After a restart the time of day may be earlier than at the start before, so that the incarnation of a silent peer may
+	// decrease.
+	older := dig.GetIncarnation() < per.incarnation && msh.options.Timers.Now().Sub(per.lastDigest) <= msh.timeout
+	if older || dig.GetIncarnation() == per.incarnation && dig.GetSequence() <= per.sequence {
+		msh.mut.Unlock()
+		return false
+	}
+	isNew := !per.live || per.incarnation != dig.GetIncarnation()
+	per.member = router.Member{Name: dig.GetNode(), Address: dig.GetAddress(), FailureDomain: dig.GetFailureDomain()}
+	per.address, per.incarnation, per.sequence = adr, dig.GetIncarnation(), dig.GetSequence()
+	per.lastDigest, per.live, per.copyVersions = msh.options.Timers.Now(), true, dig.GetVersions()
+	per.watchesStore = dig.GetReads() && !dig.GetStopping()
+	now := per.lastDigest
+	found := msh.acceptMentions(dig, now)
+	msh.mut.Unlock()
+	if isNew {
+		found = append(found, dig.GetNode())
+	}
+	for _, nam := range found {
+		msh.transitions.add("node heard", nam, now)
+	}
+	return true
+}
--- a/internal/router/mesh/doc.go
+++ b/internal/router/mesh/doc.go
@@ -3,8 +3,11 @@
 // It has three tasks:
 //
 //   - Membership: a node registers in the platform's store and reads from there which
-//     other nodes (its peers) exist. A peer is live while its digests arrive.
-//   - Digests: a node sends each peer a digest several times a second. It holds the load
+//     other nodes (its peers) exist. A peer is live while its digests arrive, or while the
+//     digests of other nodes in its failure domain name it. The limits of the fleet are
+//     divided by all nodes that exist, live or not, because a silent one may still serve.
+//   - Digests: a node sends digests to its peers, to those of its own failure domain several
+//     times a second and to others less often; the pause grows with the fleet. It holds the load
 //     that the node has in flight, the prompt prefixes that it placed, the requests that
 //     crashed upstreams, and the versions of its copies of the platform's records.
 //   - Copies: a node whose copy of the records is older than a peer's, for example during
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -4,13 +4,10 @@
 	"context"
 	"log/slog"
 	"net"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
@@ -207,91 +204,6 @@
 	return nil
 }
 
-// digestInterval returns the pause until the next digest, which grows with the number of peers that get it.
-func (msh *Mesh) digestInterval() time.Duration {
-	msh.mut.Lock()
-	defer msh.mut.Unlock()
-	return msh.interval()
-}
-
-// interval returns the pause between digests; the caller holds the lock.
-func (msh *Mesh) interval() time.Duration {
-	recipients := 0.0
-	for _, per := range msh.peers {
-		evr := msh.digestEvery(per.member.FailureDomain)
-		if !per.live && !per.lostAt.IsZero() {
-			evr = deadPeerEvery
-		}
-		recipients += 1 / float64(evr)
-	}
-	return max(minDigestInterval, time.Duration(recipients*float64(digestIntervalPerPeer)))
-}
-
-// updateTimeout updates how long a peer counts as live without being heard; the caller holds the lock. Other nodes are
-// assumed to send digests as often as this one. When many nodes die at once this one may notice earlier than others, which
-// still send as rarely as before; so the timeout falls slowly.
-func (msh *Mesh) updateTimeout() {
-	msh.timeout = max(minPeerTimeout, missedDigests*msh.interval(), time.Duration(timeoutDecay*float64(msh.timeout)))
-}
-
-// isSilent reports whether a peer has been silent for the timeout; the caller holds the lock. Peers of another failure domain also count as heard when a digest from that domain
-// names them, so that their timeout need not grow with the pause between their own digests.
-func (msh *Mesh) isSilent(per *peer, now time.Time) bool {
-	limit := msh.timeout
-	if now.Sub(per.lastDigest) <= limit || now.Sub(per.lastMention) <= limit {
-		return false
-	}
-	domain := per.member.FailureDomain
-	if domain == msh.options.Self.FailureDomain || now.Sub(msh.mentioned[domain]) <= limit/2 {
-		return true
-	}
-	return now.Sub(per.lastDigest) > time.Duration(msh.digestEvery(domain))*limit
-}
-
-// addMentions adds the hashes of live peers of the own failure domain to a digest, other ones each time; the caller holds
-// the lock.
-func (msh *Mesh) addMentions(dig *wire.Digest, now time.Time) {
-	var live []uint32
-	for nam, per := range msh.peers {
-		if per.live && per.member.FailureDomain == msh.options.Self.FailureDomain && now.Sub(per.lastDigest) <= minPeerTimeout {
-			live = append(live, mentionHash(nam))
-		}
-	}
-	slices.Sort(live)
-	// Nodes that send at the same time should name different peers.
-	start := xxhash.Sum64String(msh.options.Self.Name + strconv.FormatUint(msh.sequence, 10))
-	for num := range min(len(live), mentionsPerDigest) {
-		dig.LivePeers = append(dig.LivePeers, live[(start+uint64(num))%uint64(len(live))])
-	}
-}
-
-// acceptMentions updates the peers that a digest names as live and returns those that were not; the caller holds the lock.
-// A peer that was lost a short time ago is not live again, because the digest may have been sent before others lost it.
-func (msh *Mesh) acceptMentions(dig *wire.Digest, now time.Time) (found []string) {
-	domain := dig.GetFailureDomain()
-	if len(dig.GetLivePeers()) == 0 || domain == msh.options.Self.FailureDomain {
-		return nil
-	}
-	msh.mentioned[domain] = now
-	for _, hash := range dig.GetLivePeers() {
-		per := msh.byMention[hash]
-		if per == nil || per.member.FailureDomain != domain || !per.live && now.Sub(per.lostAt) < msh.timeout {
-			continue
-		}
-		per.lastMention = now
-		if !per.live {
-			per.live = true
-			found = append(found, per.member.Name)
-		}
-	}
-	return found
-}
-
-// mentionHash returns the hash by which digests name a peer.
-func mentionHash(name string) uint32 {
-	return uint32(xxhash.Sum64String(name))
-}
-
 // addPeer adds a peer without any state; the caller holds the lock.
 func (msh *Mesh) addPeer(name string) (per *peer) {
 	per = &peer{}
@@ -306,63 +218,6 @@
 	delete(msh.byMention, mentionHash(name))
 }
 
-// sendDigest sends the state of this node to the peers that are due for it.
-func (msh *Mesh) sendDigest(soc *net.UDPConn) {
-	self := msh.options.Self
-	dig := &wire.Digest{
-		Node:          self.Name,
-		FailureDomain: self.FailureDomain,
-		Incarnation:   msh.incarnation,
-		Address:       self.Address,
-		Versions:      make(map[string]int64, len(msh.options.Copies)),
-	}
-	dig.Reads = true
-	for knd, fol := range msh.options.Copies {
-		dig.Versions[string(knd)] = fol.LastChange()
-		dig.Reads = dig.Reads && fol.OutageDuration() == 0 && !fol.UsesPeers()
-	}
-	msh.options.Load.AddLocal(dig)
-	recipients := msh.prepareDigest(dig)
-	mentions := dig.LivePeers
-	for evr, adrs := range recipients {
-		dig.LivePeers = nil
-		if evr > 1 {
-			dig.LivePeers = mentions
-		}
-		dig.Placements = msh.placementsOfLast(evr)
-		txt, err := proto.Marshal(dig)
-		if err != nil || len(txt) > maxDigestBytes {
-			msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
-			continue
-		}
-		for _, adr := range adrs {
-			// A lost datagram is superseded by the next one.
-			_, _ = soc.WriteToUDP(txt, adr)
-		}
-	}
-}
-
-// placementsOfLast returns the placements of the given number of last digests.
-func (msh *Mesh) placementsOfLast(digests int) (pls []*wire.Placement) {
-	for _, one := range msh.recentPlacements[max(0, len(msh.recentPlacements)-digests):] {
-		pls = append(pls, one...)
-	}
-	return pls
-}
-
-// digestEvery returns the interval, in digests, at which a peer in a failure domain gets one.
-func (msh *Mesh) digestEvery(domain string) int {
-	own := msh.options.Self.FailureDomain
-	switch {
-	case domain == own:
-		return 1
-	case msh.options.Regions[domain] == msh.options.Regions[own]:
-		return crossDomainEvery
-	default:
-		return crossRegionEvery
-	}
-}
-
 // HasStoreReaders reports whether at least readersPerDomain nodes of the failure domain that rank
 // before this one watch the store, so that this node can get its changes from peers.
 func (msh *Mesh) HasStoreReaders() bool {
@@ -414,103 +269,3 @@
 	}
 	return listed, watching
 }
-
-// prepareDigest sets the sequence number of the next digest and returns the addresses to send it
-// to, by the number of digests since the last one that they got. It also expires silent peers.
-func (msh *Mesh) prepareDigest(dig *wire.Digest) (adrs map[int][]*net.UDPAddr) {
-	adrs = make(map[int][]*net.UDPAddr)
-	now := msh.options.Timers.Now()
-	own := xxhash.Sum64String(msh.options.Self.Name)
-	var expired []string
-	msh.mut.Lock()
-	msh.sequence++
-	dig.Sequence = msh.sequence
-	dig.Stopping = msh.stopping
-	msh.addMentions(dig, now)
-	msh.updateTimeout()
-	for nam, per := range msh.peers {
-		if per.live && msh.isSilent(per, now) {
-			per.live, per.lostAt = false, now
-			expired = append(expired, nam)
-		}
-		evr := msh.digestEvery(per.member.FailureDomain)
-		if !per.live && !per.lostAt.IsZero() {
-			evr = deadPeerEvery
-		}
-		// Nodes that start together send at the same time; a peer should not get their digests all at once.
-		if (msh.sequence+xxhash.Sum64String(nam)+own)%uint64(evr) == 0 {
-			adrs[min(evr, crossRegionEvery)] = append(adrs[min(evr, crossRegionEvery)], per.address)
-		}
-	}
-	msh.recentPlacements = append(msh.recentPlacements, dig.Placements)
-	msh.recentPlacements = msh.recentPlacements[max(0, len(msh.recentPlacements)-crossRegionEvery):]
-	msh.mut.Unlock()
-	for _, nam := range expired {
-		msh.options.Load.RemovePeer(nam)
-		msh.transitions.add("node lost", nam, now)
-	}
-	msh.transitions.flush(now)
-	return adrs
-}
-
-func (msh *Mesh) receiveDigests(ctx context.Context, soc *net.UDPConn) {
-	buf := make([]byte, maxDigestBytes)
-	for ctx.Err() == nil {
-		num, _, err := soc.ReadFromUDP(buf)
-		if err != nil {
-			if ctx.Err() == nil {
-				msh.options.Log.Warn("datagram not received", "Error", err.Error())
-				timer.Sleep(ctx, minDigestInterval)
-			}
-			continue
-		}
-		var dig wire.Digest
-		if err := proto.Unmarshal(buf[:num], &dig); err != nil || dig.GetNode() == "" {
-			msh.options.Log.Info("datagram ignored", "Bytes", num)
-			continue
-		}
-		if msh.acceptDigest(&dig) {
-			msh.options.Load.SetPeer(&dig)
-			msh.fetchNewerCopies(ctx, &dig)
-		}
-	}
-}
-
-// acceptDigest updates the sender of a digest and reports whether the digest is newer than the last
-// one of that node.
-func (msh *Mesh) acceptDigest(dig *wire.Digest) bool {
-	if dig.GetNode() == msh.options.Self.Name {
-		return false
-	}
-	adr, err := net.ResolveUDPAddr("udp4", dig.GetAddress())
-	if err != nil {
-		return false
-	}
-	msh.mut.Lock()
-	per := msh.peers[dig.GetNode()]
-	if per == nil {
-		per = msh.addPeer(dig.GetNode())
-	}
-	// After a restart the time of day may be earlier than at the start before, so that the incarnation of a silent peer may
-	// decrease.
-	older := dig.GetIncarnation() < per.incarnation && msh.options.Timers.Now().Sub(per.lastDigest) <= msh.timeout
-	if older || dig.GetIncarnation() == per.incarnation && dig.GetSequence() <= per.sequence {
-		msh.mut.Unlock()
-		return false
-	}
-	isNew := !per.live || per.incarnation != dig.GetIncarnation()
-	per.member = router.Member{Name: dig.GetNode(), Address: dig.GetAddress(), FailureDomain: dig.GetFailureDomain()}
-	per.address, per.incarnation, per.sequence = adr, dig.GetIncarnation(), dig.GetSequence()
-	per.lastDigest, per.live, per.copyVersions = msh.options.Timers.Now(), true, dig.GetVersions()
-	per.watchesStore = dig.GetReads() && !dig.GetStopping()
-	now := per.lastDigest
-	found := msh.acceptMentions(dig, now)
-	msh.mut.Unlock()
-	if isNew {
-		found = append(found, dig.GetNode())
-	}
-	for _, nam := range found {
-		msh.transitions.add("node heard", nam, now)
-	}
-	return true
-}
