--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: soak bench-sites build demo test lint format format-check spec faults measure bench generate
+.PHONY: fuzz race soak bench-sites build demo test lint format format-check spec faults measure bench generate
 
 BIN := bin
 EXAMPLES := examples/kameeldoring examples/tolbooth
@@ -15,6 +15,18 @@
 test: build
 	go test $(if $(SKIP),-skip '$(SKIP)') ./...
 
+# fuzz plays INPUTS generated inputs to each parser of foreign bytes.
+INPUTS ?= 20000x
+fuzz:
+	go test ./platform -run '^$$' -fuzz '^FuzzInstance$$' -fuzztime $(INPUTS)
+	go test ./platform -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(INPUTS)
+	go test ./internal/router/edge -run '^$$' -fuzz '^FuzzDigest$$' -fuzztime $(INPUTS)
+	go test ./internal/router/send -run '^$$' -fuzz '^FuzzEvents$$' -fuzztime $(INPUTS)
+
+# race runs the tests of the router and of the adapter with the race detector.
+race:
+	go test -race ./internal/router/... ./platform/...
+
 lint:
 	$(TOOL) golangci-lint run ./...
 
