Test slow and stalled responses

A body, a head and events of single bytes end with the route's timeout, before and after the first event; a slow stream that is sound is not cut. No fault found: the five cases pass on the state before as well.

--- a/internal/router/conns/conns_test.go
+++ b/internal/router/conns/conns_test.go
@@ -168,7 +168,7 @@
 	}
 	for name, cas := range cases {
 		t.Run(name, func(t *testing.T) {
-			srv := fakes.NewEndlessServer(t, cas.start, cas.text, limit)
+			srv := fakes.NewEndlessServer(t, fakes.Repetition{Start: cas.start, Text: cas.text, Limit: limit})
 			if _, err := exchange(t, conns.NewPools().Pool("key", srv.Address), "body"); err == nil {
 				t.Error("the response counts as complete")
 			}
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -328,7 +328,7 @@
 	}
 	for name, cas := range cases {
 		t.Run(name, func(t *testing.T) {
-			srv := fakes.NewEndlessServer(t, strings.ReplaceAll(cas.start, "{ID}", "call"), cas.text, limit)
+			srv := fakes.NewEndlessServer(t, fakes.Repetition{Start: strings.ReplaceAll(cas.start, "{ID}", "call"), Text: cas.text, Limit: limit})
 			rec, _, aborted := serve(t, cas.route, &fakes.ScriptedServer{Address: srv.Address})
 			if rec.Code != cas.status || aborted != cas.aborted {
 				t.Errorf("status %d, aborted %t; want %d, %t", rec.Code, aborted, cas.status, cas.aborted)
@@ -339,3 +339,51 @@
 		})
 	}
 }
+
+// TestSlowResponses guards against a response that a byte now and then keeps open past the timeout of its route, and against
+// cutting a slow stream that is sound.
+func TestSlowResponses(t *testing.T) {
+	const events, timeout = 20, 300 * time.Millisecond
+	const event = "9\r\nid: 3\nc\n\n\r\n"
+	stream := head + "Transfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]struct {
+		route   router.Route
+		answer  fakes.Repetition
+		status  int
+		aborted bool
+	}{
+		"body of single bytes": {
+			route: router.Route{Timeout: timeout}, status: 504,
+			answer: fakes.Repetition{Start: head + "Content-Length: 100000\r\n\r\n", Text: "x", Limit: 1 << 20, Pause: 5 * time.Millisecond},
+		},
+		"head of single bytes": {
+			route: router.Route{Timeout: timeout}, status: 504,
+			answer: fakes.Repetition{Start: "HTTP/1.1 200 OK\r\nName: ", Text: "x", Limit: 1 << 20, Pause: 5 * time.Millisecond},
+		},
+		"event of single bytes": {
+			route: router.Route{Stream: true, Timeout: timeout}, status: 504,
+			answer: fakes.Repetition{Start: stream, Text: "1\r\nx\r\n", Limit: 1 << 20, Pause: 5 * time.Millisecond},
+		},
+		"event of single bytes, after an event": {
+			route: router.Route{Stream: true, Timeout: timeout}, status: 200, aborted: true,
+			answer: fakes.Repetition{Start: stream + event, Text: "1\r\nx\r\n", Limit: 1 << 20, Pause: 5 * time.Millisecond},
+		},
+		"slow stream that is sound": {
+			route: router.Route{Stream: true, Timeout: jobTimeout, GapTarget: time.Millisecond}, status: 200,
+			answer: fakes.Repetition{Start: stream, Text: event, End: last, Limit: int64(events * len(event)), Pause: 20 * time.Millisecond},
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			cas.answer.Start = strings.ReplaceAll(cas.answer.Start, "{ID}", "call")
+			srv := fakes.NewEndlessServer(t, cas.answer)
+			rec, rep, aborted := serve(t, cas.route, &fakes.ScriptedServer{Address: srv.Address})
+			if rec.Code != cas.status || aborted != cas.aborted {
+				t.Errorf("status %d, aborted %t; want %d, %t", rec.Code, aborted, cas.status, cas.aborted)
+			}
+			if cas.answer.End != "" && rep.Events != events {
+				t.Errorf("%d events, want %d", rep.Events, events)
+			}
+		})
+	}
+}
