Withdraw the claim of an order that is confirmed after the deadline

Cause: tryClaim returned GiveUp without withdrawing when the write of the claim took longer than the deadline. The caller heard NotRun, yet each later attempt got order_outcome_unknown until the row expired.

--- a/internal/router/order/ledger.go
+++ b/internal/router/order/ledger.go
@@ -139,7 +139,12 @@
 	clm := att.claimRecord(led.now())
 	err := led.write(ctx, att.Order, clm, ver)
 	if err == nil {
-		return NextStep(att, clm, led.now(), led.maxWait()), clm
+		if stp = NextStep(att, clm, led.now(), led.maxWait()); stp == GiveUp {
+			// The claim was confirmed after the deadline. Without a withdrawal it would block the order although the
+			// caller hears that it was not run.
+			led.withdrawClaim(att, clm, ver)
+		}
+		return stp, clm
 	}
 	// The row decides only if a delayed write of the claim must fail: the write failed its condition already, or
 	// the row now holds another version than the one that the write requires.
--- a/internal/router/order/ledger_test.go
+++ b/internal/router/order/ledger_test.go
@@ -282,3 +282,33 @@
 		t.Fatalf("got step %d, want Send", got)
 	}
 }
+
+// TestClaimAfterDeadlineIsWithdrawn guards against an order that stays claimed although its caller heard that it was not run:
+// the write of the claim is confirmed after the deadline.
+func TestClaimAfterDeadlineIsWithdrawn(t *testing.T) {
+	tms := timer.NewManual(time.Unix(1000, 0))
+	slow := true
+	tab := &faultyTable{Table: memtab.NewTable(), plan: func() fault {
+		if slow {
+			tms.Advance(time.Second)
+		}
+		return none
+	}}
+	led := order.NewLedger(order.Options{
+		Timers: tms, Table: tab, Objects: memtab.NewObjects(), Log: slog.New(slog.DiscardHandler), Live: conf.NewLive(noOrderWait()),
+	})
+	sent := 0
+	send := func() order.SendResult {
+		sent++
+		return order.SendResult{Answer: &router.Answer{Status: http.StatusOK}}
+	}
+	first := attempt(1, "digest")
+	first.Deadline = tms.Now().Add(1500 * time.Millisecond)
+	if _, err := led.Run(t.Context(), first, send); outcome(err) != router.NotRun || sent != 0 {
+		t.Fatalf("outcome %s, sent %d times", outcome(err), sent)
+	}
+	slow = false
+	if _, err := led.Run(t.Context(), attempt(2, "digest"), send); err != nil || sent != 1 {
+		t.Errorf("the next attempt: %v, sent %d times", err, sent)
+	}
+}
