Refuse edits by lagging nodes, and let leaving members expire

Causes: an edit of one workspace through a node that lags was made on its older text and accepted against the newer revision, which undid what came in between; members in state Leaving stayed in every table for good, with their share of the gossip. Both tests fail before.

--- a/internal/router/admin/admin_test.go
+++ b/internal/router/admin/admin_test.go
@@ -114,6 +114,7 @@
 		{"the author of a change is stored", "GET", cfg, "viewer", "", nil, 200, `"Author":"ann"`},
 		{"a workspace without base revision", "PUT", wsp, "editor", workspace, nil, 400, "must name the revision"},
 		{"an added workspace", "PUT", wsp, "editor", workspace, edit, 200, `"Number":2`},
+		{"a change against a revision that the node does not have yet", "PUT", wsp, "editor", workspace, map[string]string{"Hornbeamdyke-Change": "six", "Hornbeamdyke-Against": "3"}, 409, "not yet 3"},
 		{"deletion of an unknown workspace", "DELETE", admin.Prefix + "/workspaces/none", "editor", "", map[string]string{"Hornbeamdyke-Change": "five", "Hornbeamdyke-Against": "2"}, 404, "NotFound"},
 		{"list of workspaces", "GET", admin.Prefix + "/workspaces", "viewer", "", nil, 200, `["w"]`},
 		{"workspace without its keys", "GET", admin.Prefix + "/workspaces/w", "viewer", "", nil, 200, `"KeyDigests":null`},
--- a/internal/router/admin/change.go
+++ b/internal/router/admin/change.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"fmt"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -124,6 +125,14 @@
 		writeJSON(wri, http.StatusBadRequest, Failure{Code: codeInvalidRequest, Message: headerAgainst + " must name the revision that the change is made against"})
 		return
 	}
+	if against > cur.GetNumber() {
+		// The edit of an older text, accepted on top of a newer revision, would undo what came in between.
+		writeJSON(wri, http.StatusConflict, Failure{
+			Code:    codeConflict,
+			Message: fmt.Sprintf("this node has revision %d in force and not yet %d; send the change again later", cur.GetNumber(), against),
+		})
+		return
+	}
 	txt, err := edit(cur.GetBase().GetText())
 	if errors.Is(err, conf.ErrNoWorkspace) {
 		writeJSON(wri, http.StatusNotFound, Failure{Code: codeNotFound, Message: err.Error()})
--- a/internal/router/member/member_test.go
+++ b/internal/router/member/member_test.go
@@ -104,3 +104,19 @@
 		}
 	}
 }
+
+// TestLeavingMemberExpires guards against members that left and stay in the table of every node for good.
+func TestLeavingMemberExpires(t *testing.T) {
+	tab := member.NewTable(node("a", 0, live), start)
+	tab.Merge([]*wire.Member{node("b", 5, leaving)}, start)
+	tab.Expire(start.Add(time.Minute))
+	if got := tab.Get("b").GetState(); got != leaving {
+		t.Errorf("after a minute the member is %v", got)
+	}
+	for _, hours := range []time.Duration{1, 2} {
+		tab.Expire(start.Add(hours * time.Hour))
+	}
+	if tab.Get("b") != nil {
+		t.Error("the member is still in the table after two hours")
+	}
+}
--- a/internal/router/member/table.go
+++ b/internal/router/member/table.go
@@ -16,6 +16,8 @@
 const (
 	// SuspicionTimeout is how long a suspect has to refute the suspicion before it is declared dead.
 	SuspicionTimeout = 2 * time.Second
+	// leavingRetention is how long a leaving member may take to end its requests before it is declared dead.
+	leavingRetention = 10 * time.Minute
 	// deadRetention is how long a dead member stays in the table, so that a late update cannot revive it.
 	deadRetention = 10 * time.Minute
 	// retransmitFactor sets how often a node sends an update before it counts as spread:
@@ -122,8 +124,8 @@
 	ent.member.Revision = num
 }
 
-// Expire declares suspects dead after SuspicionTimeout and removes members that have been dead for
-// longer than deadRetention.
+// Expire declares suspects dead after SuspicionTimeout and leaving members after leavingRetention, and removes members that
+// have been dead for longer than deadRetention.
 func (tab *Table) Expire(now time.Time) {
 	tab.mut.Lock()
 	defer tab.mut.Unlock()
@@ -133,6 +135,10 @@
 			if now.Sub(ent.since) > SuspicionTimeout {
 				tab.setState(ent, wire.MemberState_MEMBER_STATE_DEAD, now)
 			}
+		case wire.MemberState_MEMBER_STATE_LEAVING:
+			if now.Sub(ent.since) > leavingRetention && nam != tab.self {
+				tab.setState(ent, wire.MemberState_MEMBER_STATE_DEAD, now)
+			}
 		case wire.MemberState_MEMBER_STATE_DEAD:
 			if now.Sub(ent.since) > deadRetention {
 				delete(tab.members, nam)
