--- a/internal/router/admin/change.go
+++ b/internal/router/admin/change.go
@@ -1,8 +1,8 @@
 package admin
 
 import (
-	"fmt"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
