--- a/internal/router/admin/admin_test.go
+++ b/internal/router/admin/admin_test.go
@@ -129,3 +129,25 @@
 		t.Fatalf("drained %v, installed configuration %s", nod.drained, nod.current.GetBase().GetText())
 	}
 }
+
+// TestLaggingNodeRefusesEdit has another node accept a revision that this node has not installed yet. It guards against an
+// edit of one workspace that is made on the older text and so undoes the newer revision.
+func TestLaggingNodeRefusesEdit(t *testing.T) {
+	han, nod := newAPI()
+	first := send(han, "POST", admin.Prefix+"/configuration", "editor", changeBody(t, "one", validSettings), nil)
+	if first.Code != http.StatusOK {
+		t.Fatalf("status %d: %s", first.Code, first.Body)
+	}
+	newer := &wire.Revision{Change: "two", Base: &wire.Source{File: "base.yaml", Text: validSettings + "# newer\n"}}
+	if num, err := nod.store.Accept(t.Context(), newer, 1); err != nil || num != 2 {
+		t.Fatalf("revision %d, %v", num, err)
+	}
+	workspace := `{"KeyDigests":["` + entry.KeyDigest("k") + `"],"RequestRate":1,"Burst":1,"InFlight":1,"Classes":["c"]}`
+	rec := send(han, "PUT", admin.Prefix+"/workspaces/new", "editor", workspace, map[string]string{"Hornbeamdyke-Change": "three", "Hornbeamdyke-Against": "2"})
+	if rec.Code != http.StatusConflict {
+		t.Errorf("status %d: %s", rec.Code, rec.Body)
+	}
+	if head, err := nod.store.Get(t.Context(), 3); err == nil {
+		t.Errorf("revision 3 undoes revision 2: %s", head.GetBase().GetText())
+	}
+}
