--- a/internal/router/edge/handler_test.go
+++ b/internal/router/edge/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -50,13 +51,14 @@
 	t.Helper()
 	lgb.mut.Lock()
 	defer lgb.mut.Unlock()
-	var log trace.Log
-	if err := log.Read(bytes.NewReader(lgb.buf.Bytes())); err != nil {
-		t.Fatal(err)
-	}
+	log := trace.Log{Name: "node", Open: func() (io.ReadCloser, error) {
+		return io.NopCloser(bytes.NewReader(lgb.buf.Bytes())), nil
+	}}
 	var out strings.Builder
 	// Explain fails until the first line about the request is written.
-	_ = log.Explain(&out, request)
+	if err := trace.Explain(&out, request, log); err != nil && !errors.Is(err, trace.ErrNotFound) {
+		t.Fatal(err)
+	}
 	return out.String()
 }
 
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -1,7 +1,7 @@
 package trace
 
 import (
-	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"slices"
@@ -14,116 +14,133 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
 )
 
-// maxLineBytes bounds a line of a log; Read fails on a longer one.
-const maxLineBytes = 1 << 20
-
-// ErrNotFound reports that no line of the log names the request.
+// ErrNotFound reports that no line of the logs names the request.
 var ErrNotFound = errors.New("no line names the request")
 
-// Line is one line of a node's log.
-type Line struct {
-	Time    time.Time
-	Node    string
-	Message string
-	// Request is empty for lines that concern no single request.
-	Request string
-	// Upstream is empty for lines that concern no upstream.
-	Upstream string
-	// Text is the whole line in JSON.
-	Text string
-}
-
-// Log holds the log lines of one or more nodes in order of time.
-type Log struct {
-	lines []Line
+// line is one line of a node's log.
+type line struct {
+	time    time.Time
+	node    string
+	message string
+	// request is empty for lines that concern no single request.
+	request string
+	// upstream is empty for lines that concern no upstream.
+	upstream string
+	// text is the whole line in JSON.
+	text string
 }
 
-// Read adds the lines of a log to Log. It ignores text before the first brace of a line, such as the
-// prefix of a log collector, and lines without valid JSON.
-func (log *Log) Read(src io.Reader) (err error) {
-	defer errs.Annotate(&err, "read log")
-	scn := bufio.NewScanner(src)
-	scn.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
-	for scn.Scan() {
-		pos := strings.IndexByte(scn.Text(), '{')
-		if pos < 0 || !gjson.Valid(scn.Text()[pos:]) {
-			continue
-		}
-		txt := scn.Text()[pos:]
-		val := gjson.Parse(txt)
-		log.lines = append(log.lines, Line{
-			Time:     val.Get("Time").Time(),
-			Node:     val.Get("Node").String(),
-			Message:  val.Get("Message").String(),
-			Request:  val.Get("Request").String(),
-			Upstream: val.Get("Upstream").String(),
-			Text:     txt,
-		})
+// Explain writes the lines of a request, marked "decision", and before them the state of the nodes that logged these lines,
+// marked "before". It reads the logs twice and keeps only what it may write. It returns ErrNotFound when no line names the
+// request.
+func Explain(out io.Writer, request string, logs ...Log) (err error) {
+	defer errs.Annotate(&err, "explain request")
+	lines, err := requestLines(request, logs)
+	if err != nil {
+		return err
 	}
-	slices.SortStableFunc(log.lines, func(one, two Line) int { return one.Time.Compare(two.Time) })
-	return scn.Err()
-}
-
-// Explain writes the state lines of a request, marked "before", and its own lines, marked "decision".
-// It returns ErrNotFound when no line names the request.
-func (log *Log) Explain(out io.Writer, request string) (err error) {
-	lines := log.requestLines(request)
 	if len(lines) == 0 {
 		return errors.Wrap(ErrNotFound, request)
 	}
-	for _, lin := range log.stateLines(lines) {
-		fmt.Fprintln(out, "before  ", lin.Text)
+	states, err := stateLines(lines, logs)
+	if err != nil {
+		return err
+	}
+	for _, lin := range states {
+		fmt.Fprintln(out, "before  ", lin.text)
 	}
 	for _, lin := range lines {
-		fmt.Fprintln(out, "decision", lin.Text)
+		fmt.Fprintln(out, "decision", lin.text)
 	}
 	return nil
 }
 
-// requestLines returns the lines that name a request.
-func (log *Log) requestLines(request string) (lines []Line) {
-	for _, lin := range log.lines {
-		if lin.Request == request {
-			lines = append(lines, lin)
+// requestLines returns the lines that name a request, in order of time.
+func requestLines(request string, logs []Log) (lines []line, err error) {
+	for _, log := range logs {
+		err := log.each(func(txt []byte) {
+			if !bytes.Contains(txt, []byte(request)) {
+				return
+			}
+			if lin, ok := parseLine(txt); ok && lin.request == request {
+				lines = append(lines, lin)
+			}
+		})
+		if err != nil {
+			return nil, err
 		}
 	}
-	return lines
+	sortByTime(lines)
+	return lines, nil
 }
 
-// stateLines takes the lines of a request and returns, for the node of the first one, the newest line
-// about each part of the node's state that was logged no later than the last one. Of the upstreams, it
-// returns only those that the lines of the request name.
-func (log *Log) stateLines(lines []Line) (res []Line) {
-	ups := make(map[string]bool)
+// stateLines takes the lines of a request and returns, for each node among them, the newest line about each part of the
+// node's state that was logged no later than the node's last line of the request. Of the upstreams, it returns only those
+// that the lines of the request name.
+func stateLines(lines []line, logs []Log) (res []line, err error) {
+	ups, ends := make(map[string]bool), make(map[string]time.Time)
 	for _, lin := range lines {
-		ups[lin.Upstream] = lin.Upstream != ""
+		ups[lin.upstream] = lin.upstream != ""
+		ends[lin.node] = lin.time
 	}
-	end := lines[len(lines)-1].Time
-	newest := make(map[string]Line)
-	for _, lin := range log.lines {
-		if lin.Node != lines[0].Node || lin.Request != "" || lin.Time.After(end) {
-			continue
-		}
-		if lin.Upstream == "" {
-			newest[stateKey(lin)] = lin
-		} else if ups[lin.Upstream] {
-			newest[lin.Upstream] = lin
+	newest := make(map[string]line)
+	for _, log := range logs {
+		err := log.each(func(txt []byte) {
+			lin, ok := parseLine(txt)
+			if end, own := ends[lin.node]; !ok || !own || lin.request != "" || lin.time.After(end) {
+				return
+			}
+			key := lin.node + "\n" + stateKey(lin)
+			if lin.upstream != "" {
+				if !ups[lin.upstream] {
+					return
+				}
+				key = lin.node + "\n" + lin.upstream
+			}
+			if old, fnd := newest[key]; !fnd || !lin.time.Before(old.time) {
+				newest[key] = lin
+			}
+		})
+		if err != nil {
+			return nil, err
 		}
 	}
 	for _, lin := range newest {
 		res = append(res, lin)
 	}
-	slices.SortFunc(res, func(one, two Line) int { return one.Time.Compare(two.Time) })
-	return res
+	sortByTime(res)
+	return res, nil
+}
+
+// parseLine decodes a line. It ignores text before the first brace, such as the prefix of a log collector; ok is false if no
+// valid JSON follows.
+func parseLine(txt []byte) (lin line, ok bool) {
+	pos := bytes.IndexByte(txt, '{')
+	if pos < 0 || !gjson.ValidBytes(txt[pos:]) {
+		return line{}, false
+	}
+	val := gjson.ParseBytes(txt[pos:])
+	return line{
+		time:     val.Get("Time").Time(),
+		node:     val.Get("Node").String(),
+		message:  val.Get("Message").String(),
+		request:  val.Get("Request").String(),
+		upstream: val.Get("Upstream").String(),
+		text:     string(txt[pos:]),
+	}, true
+}
+
+func sortByTime(lines []line) {
+	slices.SortStableFunc(lines, func(one, two line) int { return one.time.Compare(two.time) })
 }
 
 // stateKey returns the same key for lines that report successive values of the same part of the
 // node's state.
-func stateKey(lin Line) string {
+func stateKey(lin line) string {
 	for _, nam := range []string{"manifest", "store", "node", "settings"} {
-		if strings.HasPrefix(lin.Message, nam) {
-			return nam + gjson.Get(lin.Text, "Kind").String() + gjson.Get(lin.Text, "Peer").String()
+		if strings.HasPrefix(lin.message, nam) {
+			return nam + gjson.Get(lin.text, "Kind").String() + gjson.Get(lin.text, "Peer").String()
 		}
 	}
-	return lin.Message
+	return lin.message
 }
