Give each class of calls at least one engine

Cause: boundaries are shares, and rounding at few engines could leave a class without any, whose calls then all cost the mismatch. The test fails before. No change where each class had an engine already.

--- a/internal/router/place/division_test.go
+++ b/internal/router/place/division_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 )
 
@@ -180,3 +182,27 @@
 		})
 	}
 }
+
+// TestNoClassIsEmpty guards against classes that get no engine by rounding, and against engines in no class.
+func TestNoClassIsEmpty(t *testing.T) {
+	rapid.Check(t, func(rap *rapid.T) {
+		num := rapid.IntRange(1, 40).Draw(rap, "engines")
+		fst := rapid.Float64Range(0, 1).Draw(rap, "first")
+		snd := rapid.Float64Range(fst, 1).Draw(rap, "second")
+		bal := New(Options{Timers: timer.NewManual(time.Unix(1000, 0))})
+		list := make([]router.Instance, num)
+		for idx := range list {
+			list[idx].ID = strconv.Itoa(idx)
+		}
+		par, sum := bal.newPartition(list, []float64{fst, snd, 1}, newService("engines")), 0
+		for cls, engs := range par.classes {
+			sum += len(engs)
+			if len(engs) == 0 && num >= len(par.classes) {
+				rap.Errorf("class %d is empty", cls)
+			}
+		}
+		if sum != num {
+			rap.Errorf("%d of %d engines are in a class", sum, num)
+		}
+	})
+}
--- a/internal/router/place/partition.go
+++ b/internal/router/place/partition.go
@@ -45,7 +45,8 @@
 	byID    map[uint64]*engine
 }
 
-// newPartition assigns each instance to a class. The engines of a class are those between its boundary and the one before.
+// newPartition assigns each instance to a class. The engines of a class are those between its boundary and the one before,
+// and at least one as long as there are enough.
 func (bal *Balancer) newPartition(list []router.Instance, bounds []float64, svc *service) (par *partition) {
 	par = &partition{list: list, classes: make([][]*engine, len(bounds)), byID: make(map[uint64]*engine, len(list))}
 	ord := make([]*engine, 0, len(list))
@@ -57,7 +58,9 @@
 	interleaveDomains(ord)
 	start := 0
 	for cls, bnd := range bounds {
-		end := max(start, min(len(ord), int(math.Round(bnd*float64(len(ord))))))
+		later := len(bounds) - 1 - cls
+		end := min(int(math.Round(bnd*float64(len(ord)))), len(ord)-later)
+		end = min(max(end, start+1), len(ord))
 		par.classes[cls] = ord[start:end]
 		for _, eng := range ord[start:end] {
 			eng.class = class(cls)
