--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -48,10 +48,24 @@
 	}
 }
 
-// placementsOfLast returns the placements of the given number of last digests.
+// placementsOfLast returns the placements of the given number of last digests, each prefix and upstream once. Other regions
+// get only those of prefixes that are cached: placements are most of the traffic between regions, and a node there has
+// little use for a prefill that is still queued.
 func (msh *Mesh) placementsOfLast(digests int) (pls []*wire.Placement) {
+	type key struct{ prefix, instance uint64 }
+	positions := make(map[key]int)
 	for _, one := range msh.recentPlacements[max(0, len(msh.recentPlacements)-digests):] {
-		pls = append(pls, one...)
+		for _, plc := range one {
+			pos, fnd := positions[key{plc.GetPrefix(), plc.GetInstance()}]
+			switch {
+			case digests == crossRegionEvery && !plc.GetRead():
+			case !fnd:
+				positions[key{plc.GetPrefix(), plc.GetInstance()}] = len(pls)
+				pls = append(pls, plc)
+			case plc.GetRead():
+				pls[pos] = plc
+			}
+		}
 	}
 	return pls
 }
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
@@ -224,3 +225,28 @@
 		})
 	}
 }
+
+// TestPlacementsAreSentOnce guards against traffic for repeated placements: a hot prefix is placed at one engine many times
+// between two digests.
+func TestPlacementsAreSentOnce(t *testing.T) {
+	msh, _ := newMesh("self", fakes.NewRecordStore())
+	queued, cached := &wire.Placement{Prefix: 1, Instance: 2}, &wire.Placement{Prefix: 1, Instance: 2, Read: true}
+	other := &wire.Placement{Prefix: 3, Instance: 2}
+	msh.recentPlacements = [][]*wire.Placement{{queued, cached, queued}, {other, queued, cached}}
+	cases := map[string]struct {
+		digests int
+		want    []*wire.Placement
+	}{
+		"own failure domain": {digests: 1, want: []*wire.Placement{other, cached}},
+		"other domain":       {digests: crossDomainEvery, want: []*wire.Placement{cached, other}},
+		"other region":       {digests: crossRegionEvery, want: []*wire.Placement{cached}},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := msh.placementsOfLast(cas.digests)
+			if !slices.EqualFunc(got, cas.want, func(one, two *wire.Placement) bool { return proto.Equal(one, two) }) {
+				t.Errorf("placements %v, want %v", got, cas.want)
+			}
+		})
+	}
+}
