Report crashes to every peer, however rare its digests

Cause, found by reading: a crash was put into digests for 500 ms. A request that crashes upstreams was thus quarantined by each node alone. Each peer now gets the crashes since its last digest, once; the own region also gets repeats for 400 ms, within the second in which package guard counts repeats as one. The test checks six cases of the new code; the fault itself follows by arithmetic from the constants and was not shown by a run.

--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -4,7 +4,6 @@
 	"math"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
@@ -12,10 +11,6 @@
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
-// crashReportTTL is how long each digest repeats a crash, so that a lost digest does not lose it.
-// It is below the 1 s within which package guard counts repeated reports of a crash as one.
-const crashReportTTL = 500 * time.Millisecond
-
 // peerState exchanges load, crashes and prefix placements with the peers. It implements mesh.LoadState.
 type peerState struct {
 	balancer *place.Balancer
@@ -37,16 +32,15 @@
 	pes.crashes = append(pes.crashes, crs)
 }
 
-// recentCrashes returns the crashes to report in the next digest, and drops expired ones.
-func (pes *peerState) recentCrashes() []guard.Crash {
+// drainCrashes returns the crashes recorded since the last digest. Package mesh sees to it that each peer gets them.
+func (pes *peerState) drainCrashes() (css []guard.Crash) {
 	pes.mut.Lock()
 	defer pes.mut.Unlock()
-	now := pes.timers.Now()
-	pes.crashes = slices.DeleteFunc(pes.crashes, func(crs guard.Crash) bool { return now.Sub(crs.At) > crashReportTTL })
-	return slices.Clone(pes.crashes)
+	css, pes.crashes = pes.crashes, nil
+	return css
 }
 
-// AddLocal adds this node's load, recent crashes and new prefix placements to a digest.
+// AddLocal adds this node's load, and its new crashes and prefix placements, to a digest.
 func (pes *peerState) AddLocal(dig *wire.Digest) {
 	for id, inf := range pes.balancer.LocalLoads() {
 		lod := &wire.InstanceLoad{
@@ -69,7 +63,7 @@
 		}
 		dig.Demands = append(dig.Demands, msg)
 	}
-	for _, crs := range pes.recentCrashes() {
+	for _, crs := range pes.drainCrashes() {
 		dig.Strikes = append(dig.Strikes, &wire.CrashStrike{Request: crs.Digest, Instance: crs.Upstream})
 	}
 	for _, plc := range pes.balancer.DrainPlacements() {
@@ -81,7 +75,7 @@
 func (pes *peerState) SetPeer(dig *wire.Digest) {
 	infs := make(map[uint64]place.InFlight, len(dig.GetLoads()))
 	for _, lod := range dig.GetLoads() {
-		if isNoDemand(lod.GetFragile()) || isNoDemand(lod.GetSlow()) {
+		if isInvalidAmount(lod.GetFragile()) || isInvalidAmount(lod.GetSlow()) {
 			continue
 		}
 		inf := place.InFlight{Running: int(lod.GetRunning()), GapRisk: float64(lod.GetFragile())}
@@ -120,7 +114,7 @@
 	dems = make(map[uint64][]place.Demand, len(msgs))
 	for _, msg := range msgs {
 		cals, toks, rnn := msg.GetCalls(), msg.GetPrefillTokens(), msg.GetRunning()
-		if len(toks) != len(cals) || len(rnn) != len(cals) || slices.ContainsFunc(slices.Concat(cals, toks, rnn), isNoDemand) {
+		if len(toks) != len(cals) || len(rnn) != len(cals) || slices.ContainsFunc(slices.Concat(cals, toks, rnn), isInvalidAmount) {
 			continue
 		}
 		for num := range cals {
@@ -132,7 +126,8 @@
 	return dems
 }
 
-// isNoDemand reports whether a value cannot be a demand or a load. Sums would keep a value that is not a number for ever.
-func isNoDemand(val float32) bool {
+// isInvalidAmount reports whether a value can be neither a demand nor a load. Sums would keep a value that is not a number
+// for ever.
+func isInvalidAmount(val float32) bool {
 	return math.IsNaN(float64(val)) || math.IsInf(float64(val), 0) || val < 0
 }
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -35,7 +35,7 @@
 		if evr > 1 {
 			dig.LivePeers = mentions
 		}
-		dig.Placements = msh.placementsOfLast(evr)
+		dig.Placements, dig.Strikes = msh.placementsOfLast(evr), msh.strikesOfLast(evr)
 		txt, err := proto.Marshal(dig)
 		if err != nil || len(txt) > maxDigestBytes {
 			msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
@@ -70,6 +70,18 @@
 	return pls
 }
 
+// strikesOfLast returns the crashes of the given number of last digests, which a peer has not got yet, and for peers of the
+// own region those of strikeRepeat before.
+func (msh *Mesh) strikesOfLast(digests int) (sks []*wire.CrashStrike) {
+	if digests < crossRegionEvery {
+		digests += int(strikeRepeat / msh.digestInterval())
+	}
+	for _, one := range msh.recentStrikes[max(0, len(msh.recentStrikes)-digests):] {
+		sks = append(sks, one...)
+	}
+	return sks
+}
+
 // prepareDigest sets the sequence number of the next digest and returns the addresses to send it
 // to, by the number of digests since the last one that they got. It also expires silent peers.
 func (msh *Mesh) prepareDigest(dig *wire.Digest) (adrs map[int][]*net.UDPAddr) {
@@ -97,6 +109,8 @@
 			adrs[min(evr, crossRegionEvery)] = append(adrs[min(evr, crossRegionEvery)], per.address)
 		}
 	}
+	msh.recentStrikes = append(msh.recentStrikes, dig.GetStrikes())
+	msh.recentStrikes = msh.recentStrikes[max(0, len(msh.recentStrikes)-crossRegionEvery):]
 	msh.recentPlacements = append(msh.recentPlacements, dig.Placements)
 	msh.recentPlacements = msh.recentPlacements[max(0, len(msh.recentPlacements)-crossRegionEvery):]
 	msh.mut.Unlock()
--- a/internal/router/mesh/liveness.go
+++ b/internal/router/mesh/liveness.go
@@ -37,8 +37,9 @@
 	msh.timeout = max(minPeerTimeout, missedDigests*msh.interval(), time.Duration(timeoutDecay*float64(msh.timeout)))
 }
 
-// isSilent reports whether a peer has been silent for the timeout; the caller holds the lock. Peers of another failure domain also count as heard when a digest from that domain
-// names them, so that their timeout need not grow with the pause between their own digests.
+// isSilent reports whether a peer has been silent for the timeout; the caller holds the lock. Peers of another failure
+// domain also count as heard when a digest from that domain names them, so that their timeout need not grow with the pause
+// between their own digests.
 func (msh *Mesh) isSilent(per *peer, now time.Time) bool {
 	limit := msh.timeout
 	if now.Sub(per.lastDigest) <= limit || now.Sub(per.lastMention) <= limit {
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -250,3 +250,43 @@
 		})
 	}
 }
+
+// TestCrashReachesAllPeers guards against crashes that peers of other domains and regions never hear of, because their
+// digests are rare in large fleets, and against repeats after so long that they count as another crash.
+func TestCrashReachesAllPeers(t *testing.T) {
+	const rounds = 3 * crossRegionEvery
+	cases := map[string]struct{ peers, every, most int }{
+		"own domain, small fleet":   {peers: 5, every: 1, most: int(strikeRepeat/minDigestInterval) + 1},
+		"own domain, large fleet":   {peers: 300, every: 1, most: 1},
+		"other domain, small fleet": {peers: 5, every: crossDomainEvery, most: int(strikeRepeat/minDigestInterval) + 1},
+		"other domain, large fleet": {peers: 300, every: crossDomainEvery, most: 1},
+		"other region, small fleet": {peers: 5, every: crossRegionEvery, most: 1},
+		"other region, large fleet": {peers: 300, every: crossRegionEvery, most: 1},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			for phase := range cas.every {
+				msh, _ := newMesh("self", fakes.NewRecordStore())
+				for num := range cas.peers {
+					if err := msh.addMember(router.Member{Name: fmt.Sprint(num), Address: "127.0.0.1:2", FailureDomain: "domain"}, 1); err != nil {
+						t.Fatal(err)
+					}
+				}
+				got := 0
+				for round := range rounds {
+					dig := &wire.Digest{}
+					if round == crossRegionEvery {
+						dig.Strikes = []*wire.CrashStrike{{Request: "r", Instance: "u"}}
+					}
+					msh.prepareDigest(dig)
+					if round%cas.every == phase {
+						got += len(msh.strikesOfLast(cas.every))
+					}
+				}
+				if got < 1 || got > cas.most {
+					t.Errorf("a peer got the crash %d times, want 1 to %d", got, cas.most)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -54,6 +54,9 @@
 	// crossRegionEvery means that one in another region gets only each tenth: traffic between regions is expensive.
 	crossDomainEvery = 2
 	crossRegionEvery = 10
+	// strikeRepeat is how long the digests to nodes of the own region repeat a crash, so that a lost digest does not lose
+	// it. It is below the time in which package guard counts repeated reports of a crash as one.
+	strikeRepeat = 400 * time.Millisecond
 	// maxDigestBytes bounds a digest, which is sent as one datagram.
 	maxDigestBytes = 60 << 10
 )
@@ -105,6 +108,8 @@
 	// recentPlacements holds the placements of the last digests. A peer that gets every second or
 	// tenth digest gets the placements of two or ten digests together.
 	recentPlacements [][]*wire.Placement
+	// recentStrikes holds the crashes of the last digests in the same way.
+	recentStrikes [][]*wire.CrashStrike
 	// byMention holds the peers by mentionHash of their names, and mentioned when a digest from each other failure domain
 	// last named peers there.
 	byMention   map[uint32]*peer
