--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -81,6 +81,9 @@
 func (pes *peerState) SetPeer(dig *wire.Digest) {
 	infs := make(map[uint64]place.InFlight, len(dig.GetLoads()))
 	for _, lod := range dig.GetLoads() {
+		if isNoDemand(lod.GetFragile()) || isNoDemand(lod.GetSlow()) {
+			continue
+		}
 		inf := place.InFlight{Running: int(lod.GetRunning()), GapRisk: float64(lod.GetFragile())}
 		for num, val := range lod.GetUnread() {
 			if num < router.EngineRanks {
@@ -129,7 +132,7 @@
 	return dems
 }
 
-// isNoDemand reports whether a value cannot be a demand.
+// isNoDemand reports whether a value cannot be a demand or a load. Sums would keep a value that is not a number for ever.
 func isNoDemand(val float32) bool {
 	return math.IsNaN(float64(val)) || math.IsInf(float64(val), 0) || val < 0
 }
--- /dev/null
+++ b/internal/router/edge/peers_test.go
@@ -0,0 +1,114 @@
+package edge
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+// peerFixture is the state of peers before a number of engines, of which each has a load.
+type peerFixture struct {
+	*peerState
+
+	instances []router.Instance
+}
+
+func newPeerFixture(t testing.TB) (fix peerFixture) {
+	t.Helper()
+	tms := timer.NewManual(time.Unix(1000, 0))
+	grd, stop := guard.New(tms, guard.DefaultMaxCrashes)
+	t.Cleanup(stop)
+	fix.peerState = &peerState{balancer: place.New(place.Options{Timers: tms}), guard: grd, timers: tms}
+	for num := range 4 {
+		fix.instances = append(fix.instances, router.Instance{ID: fmt.Sprint(num), Service: "engines", Address: "10.0.0.1:80"})
+	}
+	fix.choose(t)
+	return fix
+}
+
+func (fix peerFixture) choose(t testing.TB) (id string) {
+	t.Helper()
+	req := place.Request{Service: "engines", PromptTokens: 1000, GapTarget: 100 * time.Millisecond}
+	ins, rsv, ok := fix.balancer.Choose(req, fix.instances, func(router.Instance) bool { return false })
+	if !ok {
+		t.Fatal("no engine was chosen")
+	}
+	rsv.Release(place.Inconclusive)
+	return ins.ID
+}
+
+// loads returns a digest with the same load at each engine.
+func (fix peerFixture) loads(node string, lod *wire.InstanceLoad) *wire.Digest {
+	dig := &wire.Digest{Node: node}
+	for _, ins := range fix.instances {
+		one := proto.CloneOf(lod)
+		one.Instance = xxhash.Sum64String(place.InstanceKey(ins))
+		dig.Loads = append(dig.Loads, one)
+	}
+	return dig
+}
+
+// TestAbsurdLoadsOfPeersAreDropped guards against a digest whose values poison the loads for ever, so that one engine gets
+// all calls or none.
+func TestAbsurdLoadsOfPeersAreDropped(t *testing.T) {
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	cases := map[string]*wire.InstanceLoad{
+		"gap risk is no number":  {Running: 1, Fragile: nan},
+		"gap risk is infinite":   {Running: 1, Fragile: inf},
+		"gap risk is negative":   {Running: 1, Fragile: -5},
+		"slowdown is no number":  {Running: 1, Slow: nan},
+		"slowdown is infinite":   {Running: 1, Slow: inf},
+		"tokens beyond any rank": {Running: 1, Unread: make([]uint32, 1000)},
+	}
+	for name, lod := range cases {
+		t.Run(name, func(t *testing.T) {
+			fix := newPeerFixture(t)
+			fix.SetPeer(fix.loads("peer", lod))
+			fix.RemovePeer("peer")
+			for _, busy := range fix.instances {
+				dig := &wire.Digest{Node: "other", Loads: []*wire.InstanceLoad{{
+					Instance: xxhash.Sum64String(place.InstanceKey(busy)), Running: 50, Unread: []uint32{1e6},
+				}}}
+				fix.SetPeer(dig)
+				if got := fix.choose(t); got == busy.ID {
+					t.Errorf("a call went to engine %s, which is busy", got)
+				}
+			}
+		})
+	}
+}
+
+// FuzzDigest checks that no datagram of a peer ends the process or leaves a load behind that is no number.
+func FuzzDigest(f *testing.F) {
+	seed, err := proto.Marshal(&wire.Digest{
+		Node: "peer", Loads: []*wire.InstanceLoad{{Instance: 1, Running: 3, Unread: []uint32{1, 2}, Fragile: 0.5, Slow: 2}},
+		Demands:    []*wire.ServiceDemand{{Service: 1, Calls: []float32{1}, PrefillTokens: []float32{2}, Running: []float32{3}}},
+		Placements: []*wire.Placement{{Prefix: 1, Instance: 1, Read: true}}, Strikes: []*wire.CrashStrike{{Request: "a", Instance: "b"}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, txt []byte) {
+		var dig wire.Digest
+		if err := proto.Unmarshal(txt, &dig); err != nil {
+			return
+		}
+		fix := newPeerFixture(t)
+		fix.SetPeer(&dig)
+		fix.choose(t)
+		fix.RemovePeer(dig.GetNode())
+		fix.choose(t)
+	})
+}
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -200,3 +200,27 @@
 		})
 	}
 }
+
+// TestRestartWithEarlierClock guards against a node that its peers ignore for good, because the time of day at its start was
+// earlier than at the start before; and against a late digest of the incarnation before, while the new one is heard.
+func TestRestartWithEarlierClock(t *testing.T) {
+	cases := map[string]struct {
+		pause time.Duration
+		want  bool
+	}{
+		"after a pause":              {pause: 2 * minPeerTimeout, want: true},
+		"while another one is heard": {},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			msh, tms := newMesh("self", fakes.NewRecordStore())
+			dig := &wire.Digest{Node: "peer", Address: "127.0.0.1:2", FailureDomain: "domain", Incarnation: 9, Sequence: 1}
+			msh.acceptDigest(dig)
+			tms.Advance(cas.pause)
+			dig.Incarnation = 5
+			if got := msh.acceptDigest(dig); got != cas.want {
+				t.Errorf("accepted: %t, want %t", got, cas.want)
+			}
+		})
+	}
+}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -491,7 +491,10 @@
 	if per == nil {
 		per = msh.addPeer(dig.GetNode())
 	}
-	if dig.GetIncarnation() < per.incarnation || dig.GetIncarnation() == per.incarnation && dig.GetSequence() <= per.sequence {
+	// After a restart the time of day may be earlier than at the start before, so that the incarnation of a silent peer may
+	// decrease.
+	older := dig.GetIncarnation() < per.incarnation && msh.options.Timers.Now().Sub(per.lastDigest) <= msh.timeout
+	if older || dig.GetIncarnation() == per.incarnation && dig.GetSequence() <= per.sequence {
 		msh.mut.Unlock()
 		return false
 	}
--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -58,8 +58,13 @@
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
 	key := InstanceKey(ins)
+	id := xxhash.Sum64String(key)
 	delete(bal.loads, key)
-	delete(bal.byID, xxhash.Sum64String(key))
+	delete(bal.byID, id)
+	// A load that is created again starts without what peers reported before.
+	for _, infs := range bal.peers {
+		delete(infs, id)
+	}
 }
 
 // loadOf returns the load of an incarnation and creates it if necessary.
--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -410,3 +410,35 @@
 		})
 	}
 }
+
+// TestRemovedLoadStartsAfresh guards against a negative load, which would attract all calls: an upstream is removed and added
+// again between two reports of a peer.
+func TestRemovedLoadStartsAfresh(t *testing.T) {
+	fix := newFixture(2)
+	_, rsv := fix.choose(t, shortPrompt())
+	fix.choose(t, shortPrompt())
+	infs := fix.LocalLoads()
+	rsv.Release(place.Served)
+	for id, inf := range infs {
+		inf.Running = 1000
+		fix.SetPeerLoads("peer", map[uint64]place.InFlight{id: inf})
+	}
+	for _, ins := range fix.instances {
+		fix.Remove(ins)
+	}
+	used := make(map[string]int)
+	for range 2 {
+		ins, _ := fix.choose(t, shortPrompt())
+		used[ins.ID]++
+	}
+	fix.SetPeerLoads("peer", nil)
+	for range 20 {
+		ins, _ := fix.choose(t, shortPrompt())
+		used[ins.ID]++
+	}
+	for id, num := range used {
+		if num > 15 {
+			t.Errorf("%d of 22 calls went to %s", num, id)
+		}
+	}
+}
