Log how long the store has been silent when it is judged

The lines about refused requests and about the loss of the store did not tell a node that is up to date from one whose watch has waited for an answer for ten seconds. SilenceMs is the time since the store's last answer, and CallMs how long the failed call took.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -53,8 +53,10 @@
 	// index is the manifest in force; nil until the first is applied.
 	index atomic.Pointer[route.Index]
 	// stale reports whether the store cannot be reached, so that a newer manifest may exist.
-	stale  func() bool
-	active atomic.Int64
+	stale func() bool
+	// silence returns how long ago the store last answered this node's watch of the manifest.
+	silence func() time.Duration
+	active  atomic.Int64
 	// closeConns is set when connections are to be closed after their current answer.
 	closeConns atomic.Bool
 	// refusing is set when a stopping node accepts no more requests.
@@ -188,7 +190,7 @@
 	}
 	han.meter.Event("refused_" + ref.Code)
 	han.log.Info("request refused", "Request", id, "Host", req.Host, "Path", req.URL.Path, "Status", ref.Status,
-		"Code", ref.Code, "Manifest", han.ManifestVersion(), "Stale", han.stale())
+		"Code", ref.Code, "Manifest", han.ManifestVersion(), "Stale", han.stale(), "SilenceMs", han.silence().Milliseconds())
 	send.WriteRefusal(wri, ref)
 }
 
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -129,6 +129,7 @@
 		dialect:    opt.Dialect,
 		log:        opt.Log,
 		stale:      func() bool { return nod.manifests.OutageDuration() > 0 },
+		silence:    nod.manifests.Silence,
 		sender: send.New(send.Options{
 			Timers:     opt.Timers,
 			Dialect:    opt.Dialect,
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -87,6 +87,8 @@
 	// the failed calls since then.
 	failingSince time.Time
 	failures     int
+	// answeredAt is when the store last answered a call; zero before the first answer.
+	answeredAt time.Time
 }
 
 // New returns a Follower without records.
@@ -103,6 +105,7 @@
 			timer.Sleep(ctx, fol.peerCheckPause())
 			continue
 		}
+		sent := time.Now()
 		chs, err := fol.fetch(ctx)
 		if ctx.Err() != nil {
 			return
@@ -112,7 +115,7 @@
 			fol.requireReload()
 			continue
 		case err != nil:
-			fol.recordFailure(err)
+			fol.recordFailure(err, time.Since(sent))
 			timer.Sleep(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, maxRetryPause)
 			continue
@@ -165,6 +168,20 @@
 	return max(1, time.Since(fol.failingSince))
 }
 
+// Silence returns how long ago the store last answered a call of this Follower; zero if it never did.
+func (fol *Follower) Silence() time.Duration {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	return fol.silence()
+}
+
+func (fol *Follower) silence() time.Duration {
+	if fol.answeredAt.IsZero() {
+		return 0
+	}
+	return time.Since(fol.answeredAt)
+}
+
 // ChangesSince returns the changes after a version. It returns a snapshot if the version is zero, or
 // not above that of a deletion that is no longer kept.
 func (fol *Follower) ChangesSince(after int64) (chs router.Changes) {
@@ -227,7 +244,8 @@
 	return fol.options.Source.Watch(ctx, fol.options.Kind, after, wait)
 }
 
-func (fol *Follower) recordFailure(err error) {
+// recordFailure records a failed call that took the given time.
+func (fol *Follower) recordFailure(err error, took time.Duration) {
 	fol.mut.Lock()
 	first := fol.failingSince.IsZero()
 	if first {
@@ -235,10 +253,11 @@
 		fol.failures = 0
 	}
 	fol.failures++
-	version := fol.version
+	version, silence := fol.version, fol.silence()
 	fol.mut.Unlock()
 	if first {
-		fol.options.Log.Warn("store lost", "Kind", fol.options.Kind, "Version", version, "Error", err.Error())
+		fol.options.Log.Warn("store lost", "Kind", fol.options.Kind, "Version", version, "CallMs", took.Milliseconds(),
+			"SilenceMs", silence.Milliseconds(), "Error", err.Error())
 	}
 }
 
@@ -273,7 +292,9 @@
 func (fol *Follower) apply(chs router.Changes, fromStore bool) (num int) {
 	fol.mut.Lock()
 	upd := Update{Changed: fol.merge(chs, fromStore)}
+	silence := fol.silence()
 	if fromStore {
+		fol.answeredAt = time.Now()
 		upd.StoreRecovered = !fol.failingSince.IsZero()
 		fol.failingSince = time.Time{}
 		if upd.StoreRecovered {
@@ -293,7 +314,7 @@
 	}
 	fol.mut.Unlock()
 	if fromStore && upd.StoreRecovered {
-		fol.options.Log.Info("store regained", "Kind", fol.options.Kind, "Version", version)
+		fol.options.Log.Info("store regained", "Kind", fol.options.Kind, "Version", version, "SilenceMs", silence.Milliseconds())
 	}
 	return len(upd.Changed)
 }
