Bound the wait for the store's answer by its start, not by its end

Callers got 401 and 404 for keys and routes that had been in the configuration for up to ten seconds.

Cause: a call to the store had one timeout for everything: the ten seconds that it asks the store to wait, and four for a large answer. A call that an outage swallows is never answered, and its node noticed that after 14 s. All nodes had sent such a call, because a change brings their watches into step, so that no peer was newer. In an outage that was noticed, every fourth call had the same timeout of 5 s.

An answer must now begin within a second of the wait (two in an outage), which is 1.5 s instead of ten; an answer that has begun may take longer as long as it makes progress.

Ruled out: shorter timeouts alone, which cut off large answers over slow links.

Evidence: TestWatchSwallowedByOutage failed with up to 13.5 s and passes with 4 s. The fake stores of two tests now end their silence by the call's own timeout, as the client of the real store does; their bounds are unchanged.

--- a/internal/fakes/recordstore.go
+++ b/internal/fakes/recordstore.go
@@ -99,13 +99,13 @@
 
 // Watch waits for changes after a version. It returns no records when the wait expires, and
 // router.ErrCompacted when the changes were discarded.
-func (sto *RecordStore) Watch(ctx context.Context, knd router.RecordKind, after int64, wait time.Duration) (chs router.Changes, err error) {
-	tmr := time.NewTimer(wait)
+func (sto *RecordStore) Watch(ctx context.Context, cal router.WatchCall) (chs router.Changes, err error) {
+	tmr := time.NewTimer(cal.Wait)
 	defer tmr.Stop()
 	sto.mut.Lock()
 	sto.calls++
 	for {
-		chs, err = sto.changesSince(knd, after)
+		chs, err = sto.changesSince(cal.Kind, cal.After)
 		changed := sto.changed
 		sto.mut.Unlock()
 		if err != nil || len(chs.Records) > 0 {
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -14,22 +14,22 @@
 )
 
 const (
-	// WatchTimeout is how long one call waits for changes. It sets the rate of calls while nothing
-	// changes.
-	WatchTimeout = 10 * time.Second
+	// watchWait is how long one call waits for changes. It sets the rate of calls while nothing changes. With answerTimeout it
+	// bounds how long a Follower waits for an answer that was lost: the sum and a pause are below the time in which
+	// changes must take effect.
+	watchWait     = 1500 * time.Millisecond
+	answerTimeout = time.Second
+	// outageWait and outageAnswerTimeout are the same in an outage. A short wait detects sooner that the store responds
+	// again, and a slow store gets more time.
+	outageWait          = 100 * time.Millisecond
+	outageAnswerTimeout = 2 * time.Second
 	// batchPause is the pause after changes, so that a series of changes costs few calls. It is a
 	// tenth of the shortest time in which changes must take effect.
 	batchPause = 300 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the backoff after a failed call. Jitter makes each pause
 	// half to one and a half times as long.
 	minRetryPause = 200 * time.Millisecond
-	maxRetryPause = time.Second
-	// probeGrace is added to the wait of a call to get its timeout during an outage, because a call
-	// that was sent while the store was down never gets a response.
-	probeGrace = time.Second
-	// fullTimeoutEvery is how often, in calls during an outage, one is sent without that timeout,
-	// because the response with all missed changes may be large.
-	fullTimeoutEvery = 4
+	maxRetryPause = 700 * time.Millisecond
 	// maxDeletions bounds the deletions that are kept for peers.
 	maxDeletions = 1000
 	// afterOutagePeriod is how long after an outage the changes for peers have AfterOutage set.
@@ -83,10 +83,8 @@
 	loaded bool
 	// recoveredAt is when the store responded again after its last outage.
 	recoveredAt time.Time
-	// failingSince is when the store stopped responding; zero while it responds. failures counts
-	// the failed calls since then.
+	// failingSince is when the store stopped responding; zero while it responds.
 	failingSince time.Time
-	failures     int
 	// answeredAt is when the store last answered a call; zero before the first answer.
 	answeredAt time.Time
 }
@@ -226,22 +224,16 @@
 
 func (fol *Follower) fetch(ctx context.Context) (chs router.Changes, err error) {
 	fol.mut.Lock()
-	loaded, after, failing, failures := fol.loaded, fol.version, !fol.failingSince.IsZero(), fol.failures
+	loaded, failing := fol.loaded, !fol.failingSince.IsZero()
+	cal := router.WatchCall{Kind: fol.options.Kind, After: fol.version, Wait: watchWait, AnswerTimeout: answerTimeout}
 	fol.mut.Unlock()
 	if !loaded {
 		return fol.options.Source.Read(ctx, fol.options.Kind)
 	}
-	wait := WatchTimeout
 	if failing {
-		// A short wait detects sooner that the store responds again.
-		wait = maxRetryPause
-		if failures%fullTimeoutEvery != 0 {
-			var cancel context.CancelFunc
-			ctx, cancel = context.WithTimeout(ctx, wait+probeGrace)
-			defer cancel()
-		}
+		cal.Wait, cal.AnswerTimeout = outageWait, outageAnswerTimeout
 	}
-	return fol.options.Source.Watch(ctx, fol.options.Kind, after, wait)
+	return fol.options.Source.Watch(ctx, cal)
 }
 
 // recordFailure records a failed call that took the given time.
@@ -250,9 +242,7 @@
 	first := fol.failingSince.IsZero()
 	if first {
 		fol.failingSince = time.Now()
-		fol.failures = 0
 	}
-	fol.failures++
 	version, silence := fol.version, fol.silence()
 	fol.mut.Unlock()
 	if first {
--- a/internal/router/follow/follow_test.go
+++ b/internal/router/follow/follow_test.go
@@ -64,22 +64,24 @@
 	}
 }
 
-// hangingStore fails the first call of Watch and never responds to the second.
+// hangingStore fails the first call of Watch and never responds to the second, which times out.
 type hangingStore struct {
 	*fakes.RecordStore
 
 	calls atomic.Int32
 }
 
-func (han *hangingStore) Watch(ctx context.Context, knd router.RecordKind, after int64, wait time.Duration) (chs router.Changes, err error) {
+func (han *hangingStore) Watch(ctx context.Context, cal router.WatchCall) (chs router.Changes, err error) {
 	switch han.calls.Add(1) {
 	case 1:
 		return chs, router.ErrUnavailable
 	case 2:
+		ctx, cancel := context.WithTimeout(ctx, cal.Wait+cal.AnswerTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return chs, router.ErrUnavailable
 	default:
-		return han.RecordStore.Watch(ctx, knd, after, wait)
+		return han.RecordStore.Watch(ctx, cal)
 	}
 }
 
--- a/internal/router/follow/outage_test.go
+++ b/internal/router/follow/outage_test.go
@@ -13,12 +13,8 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
 )
 
-const (
-	// recoveryLimit is how long after the end of an outage a node may act on an older configuration.
-	recoveryLimit = 4 * time.Second
-	// clientTimeout is how long a client of the store waits for an answer beyond the time that the call asks to wait.
-	clientTimeout = 4 * time.Second
-)
+// recoveryLimit is how long after the end of an outage a node may act on an older configuration.
+const recoveryLimit = 4 * time.Second
 
 // silentStore is a store that never answers the calls that it receives during an outage.
 type silentStore struct {
@@ -34,14 +30,14 @@
 	sil.silent = silent
 }
 
-func (sil *silentStore) Watch(ctx context.Context, knd router.RecordKind, after int64, wait time.Duration) (chs router.Changes, err error) {
+func (sil *silentStore) Watch(ctx context.Context, cal router.WatchCall) (chs router.Changes, err error) {
 	sil.mut.Lock()
 	silent := sil.silent
 	sil.mut.Unlock()
 	if !silent {
-		return sil.RecordStore.Watch(ctx, knd, after, wait)
+		return sil.RecordStore.Watch(ctx, cal)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+clientTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cal.Wait+cal.AnswerTimeout)
 	defer cancel()
 	<-ctx.Done()
 	return chs, router.ErrUnavailable
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -235,6 +235,17 @@
 // ErrCompacted reports that the store has discarded the requested history.
 var ErrCompacted = errors.New("history discarded")
 
+// WatchCall is a call that waits for changes of one kind of record.
+type WatchCall struct {
+	Kind RecordKind
+	// After is the version after which changes are returned.
+	After int64
+	// Wait is how long the store waits for a change.
+	Wait time.Duration
+	// AnswerTimeout is how long after Wait the answer may begin. The rest of an answer that has begun may take longer.
+	AnswerTimeout time.Duration
+}
+
 // RecordStore is the versioned record store of the platform, from which nodes get their manifest,
 // upstreams and members.
 type RecordStore interface {
@@ -242,7 +253,7 @@
 	Read(ctx context.Context, knd RecordKind) (chs Changes, err error)
 	// Watch waits for changes after a version. It returns no records when the wait expires, and
 	// ErrCompacted or ErrUnavailable on failure.
-	Watch(ctx context.Context, knd RecordKind, after int64, wait time.Duration) (chs Changes, err error)
+	Watch(ctx context.Context, cal WatchCall) (chs Changes, err error)
 	// Register writes this node's member record, or returns ErrUnavailable.
 	Register(ctx context.Context, mem Member) (err error)
 	// Deregister removes a node's member record if it still has the version, or returns ErrCondition
