Confirm copies of the store's records by the store's clock

Nodes that take their records from peers acted on an old configuration although they reached the store, when the nodes that watch it for them got no answers.

Cause: a node could not tell a copy that is current from one that nobody has compared with the store for some time. It trusted readers that send digests and report no outage; a reader that waits for a lost answer reports none. For the same reason 401 and 404 were given by manifests of any age.

Each answer of the store now confirms a copy as of the store's clock. Digests carry that time and its age, and a copy without newer changes at the sender counts as confirmed too; a time counts only once, so that the age does not shrink on its way through several nodes. A node watches the store itself when its copies were not confirmed for 2 s, and answers 503 instead of 401 and 404 after 2.5 s. With that one reader a failure domain is enough, which pays for half of the shorter waits.

TestFewNodesWatchTheStore bounds the calls.

--- a/internal/fakes/recordstore.go
+++ b/internal/fakes/recordstore.go
@@ -21,6 +21,8 @@
 	// changed is closed and replaced on each change.
 	changed chan struct{}
 	calls   int
+	// started is the origin of the store's clock.
+	started time.Time
 }
 
 // NewRecordStore returns an empty RecordStore.
@@ -29,9 +31,15 @@
 		records: make(map[router.RecordKind]map[string]router.Record),
 		history: make(map[router.RecordKind][]router.Record),
 		changed: make(chan struct{}),
+		started: time.Now(),
 	}
 }
 
+// clock returns the store's clock in milliseconds.
+func (sto *RecordStore) clock() int64 {
+	return 1 + time.Since(sto.started).Milliseconds()
+}
+
 // Set writes a record, or deletes it when the value is nil, and returns its version.
 func (sto *RecordStore) Set(knd router.RecordKind, key string, val []byte) (version int64) {
 	sto.mut.Lock()
@@ -90,7 +98,7 @@
 	if sto.failure != nil {
 		return router.Changes{}, sto.failure
 	}
-	chs = router.Changes{Version: sto.version, Snapshot: true}
+	chs = router.Changes{Version: sto.version, Snapshot: true, StoreMs: sto.clock()}
 	for _, rec := range sto.records[knd] {
 		chs.Records = append(chs.Records, rec)
 	}
@@ -108,12 +116,14 @@
 		chs, err = sto.changesSince(cal.Kind, cal.After)
 		changed := sto.changed
 		sto.mut.Unlock()
+		chs.StoreMs = sto.clock()
 		if err != nil || len(chs.Records) > 0 {
 			return chs, err
 		}
 		select {
 		case <-changed:
 		case <-tmr.C:
+			chs.StoreMs = sto.clock()
 			return chs, nil
 		case <-ctx.Done():
 			return router.Changes{}, ctx.Err()
--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -52,7 +52,7 @@
 	log        *slog.Logger
 	// index is the manifest in force; nil until the first is applied.
 	index atomic.Pointer[route.Index]
-	// stale reports whether the store cannot be reached, so that a newer manifest may exist.
+	// stale reports whether the manifest is not known to be current, so that a newer one may have been in force for some time.
 	stale func() bool
 	// silence returns how long ago the store last answered this node's watch of the manifest.
 	silence func() time.Duration
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -48,6 +48,9 @@
 	// assumedNodes divides RetryReserve while the number of nodes is unknown. It is above the size of the largest fleet, so
 	// that nodes which know little spend little.
 	assumedNodes = 1000
+	// maxStaleAge is how long ago a manifest by which requests are refused for good may last have been current. A change must be
+	// in force 3 s after it was made.
+	maxStaleAge = 2500 * time.Millisecond
 	// retryBudgetInterval is how often the node's part of RetryReserve is updated.
 	retryBudgetInterval = time.Second
 )
@@ -103,7 +106,7 @@
 			pools.Remove(place.InstanceKey(ins))
 		},
 	})
-	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, UsePeers: nod.recordsFromPeers})
+	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, UsePeers: nod.manifestsFromPeers})
 	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply, UsePeers: nod.instancesFromPeers})
 	grd, stopGuard := guard.New(opt.Timers, send.MaxCrashes)
 	nod.closers = append(nod.closers, stopGuard)
@@ -128,7 +131,7 @@
 		timers:     opt.Timers,
 		dialect:    opt.Dialect,
 		log:        opt.Log,
-		stale:      func() bool { return nod.manifests.OutageDuration() > 0 },
+		stale:      func() bool { return !nod.manifests.IsCurrent(maxStaleAge) },
 		silence:    nod.manifests.Silence,
 		sender: send.New(send.Options{
 			Timers:     opt.Timers,
@@ -146,10 +149,12 @@
 	return nod
 }
 
-// recordsFromPeers reports whether peers pass on the store's records, so that this node need not
-// watch it.
-func (nod *Node) recordsFromPeers() bool {
-	return nod.mesh.HasStoreReaders() || nod.manifests.Version() > 0 && nod.mesh.DeferWatch()
+// manifestsFromPeers reports whether peers pass on the manifests, so that this node need not watch the store.
+func (nod *Node) manifestsFromPeers() bool {
+	if nod.manifests.Version() == 0 {
+		return nod.mesh.HasStoreReaders()
+	}
+	return nod.mesh.KeepsCurrent(nod.manifests)
 }
 
 // instancesFromPeers reports the same for the instance records. In a large fleet few nodes read
@@ -158,7 +163,7 @@
 	if nod.instances.Version() == 0 {
 		return nod.mesh.HasStoreReaders() || nod.mesh.DeferInitialRead()
 	}
-	return nod.mesh.HasStoreReaders() || nod.mesh.DeferWatch()
+	return nod.mesh.KeepsCurrent(nod.instances)
 }
 
 // applyManifest puts a changed manifest in force unless its version is not newer. A deleted record
--- a/internal/router/follow/doc.go
+++ b/internal/router/follow/doc.go
@@ -9,6 +9,9 @@
 // copies from any origin can be merged: an older version of a record never replaces a newer
 // one.
 //
+// A copy is confirmed whenever it is known to hold all changes up to a time of the store's
+// clock, by an answer of the store or by a peer that has no newer changes.
+//
 // During an outage of the store the copy keeps its records. Records with a short lifetime
 // may expire in the store meanwhile, although their owners are alive; Update.StoreRecovered
 // marks the changes in which they may be missing.
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -17,7 +17,7 @@
 	// watchWait is how long one call waits for changes. It sets the rate of calls while nothing changes. With answerTimeout it
 	// bounds how long a Follower waits for an answer that was lost: the sum and a pause are below the time in which
 	// changes must take effect.
-	watchWait     = 1500 * time.Millisecond
+	watchWait     = 1250 * time.Millisecond
 	answerTimeout = time.Second
 	// outageWait and outageAnswerTimeout are the same in an outage. A short wait detects sooner that the store responds
 	// again, and a slow store gets more time.
@@ -37,8 +37,10 @@
 	afterOutagePeriod = 3 * time.Second
 	// peerCheckInterval is how often a Follower that uses peers checks whether it still should, and
 	// initialCheckInterval is the same before it has any records.
-	peerCheckInterval    = 250 * time.Millisecond
+	peerCheckInterval    = 100 * time.Millisecond
 	initialCheckInterval = 20 * time.Millisecond
+	// maxReaderSilence is how long after the last answer of the store a Follower still counts as watching it.
+	maxReaderSilence = watchWait + answerTimeout
 )
 
 // Update is a change of the copy.
@@ -87,6 +89,10 @@
 	failingSince time.Time
 	// answeredAt is when the store last answered a call; zero before the first answer.
 	answeredAt time.Time
+	// confirmedMs is the time of the store's clock up to which the copy is known to hold all changes, and confirmedAt is when
+	// that was by the clock of this node, or later by the delay of messages; zero if nothing is known.
+	confirmedMs int64
+	confirmedAt time.Time
 }
 
 // New returns a Follower without records.
@@ -97,6 +103,8 @@
 // Run reads and watches the store until the context ends.
 func (fol *Follower) Run(ctx context.Context) {
 	retry := minRetryPause
+	// pause is the time since the last answer of the store that was spent without a call.
+	pause := time.Duration(0)
 	for ctx.Err() == nil {
 		if fol.usesPeers() {
 			fol.switchToPeers()
@@ -104,7 +112,7 @@
 			continue
 		}
 		sent := time.Now()
-		chs, err := fol.fetch(ctx)
+		chs, err := fol.fetch(ctx, pause)
 		if ctx.Err() != nil {
 			return
 		}
@@ -119,8 +127,15 @@
 			continue
 		}
 		retry = minRetryPause
-		if fol.apply(chs, true) > 0 {
-			timer.Sleep(ctx, batchPause)
+		pause = 0
+		answered := time.Now()
+		if chs.Snapshot {
+			// The pages of a snapshot are at least as new as the call.
+			answered = sent
+		}
+		if fol.apply(chs, answered) > 0 {
+			pause = batchPause
+			timer.Sleep(ctx, pause)
 		}
 	}
 }
@@ -131,7 +146,7 @@
 		// The peer has not read any records yet.
 		return
 	}
-	fol.apply(chs, false)
+	fol.apply(chs, time.Time{})
 }
 
 // UsesPeers reports whether changes come from peers at present.
@@ -180,6 +195,44 @@
 	return time.Since(fol.answeredAt)
 }
 
+// WatchesStore reports whether this Follower watches the store itself and the store answers.
+func (fol *Follower) WatchesStore() bool {
+	if fol.usesPeers() {
+		return false
+	}
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	return fol.failingSince.IsZero() && !fol.answeredAt.IsZero() && fol.silence() <= maxReaderSilence
+}
+
+// Confirmed returns up to which time of the store's clock, in milliseconds, the copy is known to hold all changes, and how
+// long ago that was. It returns zero for both if nothing is known.
+func (fol *Follower) Confirmed() (storeMs int64, age time.Duration) {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	if fol.confirmedAt.IsZero() {
+		return 0, 0
+	}
+	return fol.confirmedMs, time.Since(fol.confirmedAt)
+}
+
+// IsCurrent reports whether the copy is known to have held all changes at some time within the given age.
+func (fol *Follower) IsCurrent(age time.Duration) bool {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	return !fol.confirmedAt.IsZero() && time.Since(fol.confirmedAt) <= age
+}
+
+// Confirm records that a peer whose newest change is lastChange held all changes up to a time of the store's clock, an age ago.
+// Peers pass on what others confirmed: as a time of the store's clock is newer only once, the age does not shrink on the way.
+func (fol *Follower) Confirm(lastChange, storeMs int64, age time.Duration) {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	if lastChange <= fol.lastChange && fol.version > 0 && storeMs > fol.confirmedMs {
+		fol.confirmedMs, fol.confirmedAt = storeMs, time.Now().Add(-age)
+	}
+}
+
 // ChangesSince returns the changes after a version. It returns a snapshot if the version is zero, or
 // not above that of a deletion that is no longer kept.
 func (fol *Follower) ChangesSince(after int64) (chs router.Changes) {
@@ -222,10 +275,12 @@
 	return fol.options.UsePeers != nil && fol.options.UsePeers()
 }
 
-func (fol *Follower) fetch(ctx context.Context) (chs router.Changes, err error) {
+// fetch reads the store, or waits for changes for less than watchWait by the given pause, so that answers come at the same
+// rate after changes as without.
+func (fol *Follower) fetch(ctx context.Context, pause time.Duration) (chs router.Changes, err error) {
 	fol.mut.Lock()
 	loaded, failing := fol.loaded, !fol.failingSince.IsZero()
-	cal := router.WatchCall{Kind: fol.options.Kind, After: fol.version, Wait: watchWait, AnswerTimeout: answerTimeout}
+	cal := router.WatchCall{Kind: fol.options.Kind, After: fol.version, Wait: watchWait - pause, AnswerTimeout: answerTimeout}
 	fol.mut.Unlock()
 	if !loaded {
 		return fol.options.Source.Read(ctx, fol.options.Kind)
@@ -278,13 +333,16 @@
 	fol.options.Log.Info("store history discarded", "Kind", fol.options.Kind)
 }
 
-// apply merges changes, passes those that are new to Options.Apply, and returns their number.
-func (fol *Follower) apply(chs router.Changes, fromStore bool) (num int) {
+// apply merges changes, passes those that are new to Options.Apply, and returns their number. The store held no others at the
+// time answered, which is zero if the changes come from a peer.
+func (fol *Follower) apply(chs router.Changes, answered time.Time) (num int) {
+	fromStore := !answered.IsZero()
 	fol.mut.Lock()
 	upd := Update{Changed: fol.merge(chs, fromStore)}
 	silence := fol.silence()
 	if fromStore {
 		fol.answeredAt = time.Now()
+		fol.confirmedMs, fol.confirmedAt = chs.StoreMs, answered
 		upd.StoreRecovered = !fol.failingSince.IsZero()
 		fol.failingSince = time.Time{}
 		if upd.StoreRecovered {
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -43,8 +43,9 @@
 
 // copier fetches the changes of one kind of record from peers and serves them to peers.
 type copier struct {
-	kind     router.RecordKind
-	follower *follow.Follower
+	kind      router.RecordKind
+	follower  *follow.Follower
+	transport http.RoundTripper
 
 	mut sync.Mutex
 	// newestSeen is the newest version in the digests of all peers, and behindSince is when it
@@ -61,17 +62,19 @@
 	cacheVersion, cacheAfter int64
 }
 
-var peerClient = &http.Client{Transport: &http.Transport{
+// peerTransport connects to peers.
+var peerTransport = &http.Transport{
 	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	MaxIdleConnsPerHost: 1,
 	IdleConnTimeout:     5 * time.Second,
-}}
+}
 
 // fetchNewerCopies fetches the changes that the sender of a digest has and this node's own watch
-// does not deliver.
+// does not deliver. If there are none, the copies are as current as those of the sender.
 func (msh *Mesh) fetchNewerCopies(ctx context.Context, dig *wire.Digest) {
 	for _, cop := range msh.copiers {
 		newer := dig.GetVersions()[string(cop.kind)]
+		cop.follower.Confirm(newer, dig.GetConfirmedStoreMs(), time.Duration(dig.GetConfirmedAgeMs())*time.Millisecond)
 		sameDomain := dig.GetFailureDomain() == msh.options.Self.FailureDomain
 		if !cop.beginFetch(newer, sameDomain, msh.options.Timers.Now()) {
 			continue
@@ -132,7 +135,7 @@
 	if err != nil {
 		return 0, err
 	}
-	rsp, err := peerClient.Do(req)
+	rsp, err := (&http.Client{Transport: cop.transport}).Do(req)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/router/mesh/current_test.go
@@ -0,0 +1,205 @@
+package mesh
+
+import (
+	"cmp"
+	"compress/gzip"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
+)
+
+// applyLimit is how long after a change it must be in force on all nodes that reach the store.
+const applyLimit = 3 * time.Second
+
+// domainStore is the store as one node reaches it: calls that are sent while it is silent are never answered.
+type domainStore struct {
+	*fakes.RecordStore
+
+	silent atomic.Bool
+}
+
+func (dom *domainStore) Watch(ctx context.Context, cal router.WatchCall) (chs router.Changes, err error) {
+	silent := dom.silent.Load()
+	if !silent {
+		chs, err = dom.RecordStore.Watch(ctx, cal)
+		silent = dom.silent.Load()
+	}
+	if !silent {
+		return chs, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cal.Wait+cal.AnswerTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return router.Changes{}, router.ErrUnavailable
+}
+
+// domainNode is a node of a failure domain in process.
+type domainNode struct {
+	*Mesh
+
+	store    domainStore
+	follower *follow.Follower
+	// value is the applied value of the only record.
+	value atomic.Value
+	// frozen stops the digests of the node; outdated removes from them what older releases do not send.
+	frozen, outdated bool
+}
+
+// testDomain is a failure domain whose nodes exchange digests and copies without a network, in fake time.
+type testDomain struct {
+	store *fakes.RecordStore
+	// nodes are in the order in which they watch the store.
+	nodes []*domainNode
+}
+
+// RoundTrip calls a node's handler of copies.
+func (dom *testDomain) RoundTrip(req *http.Request) (rsp *http.Response, err error) {
+	for _, nod := range dom.nodes {
+		if nod.options.Self.Address == req.URL.Host && !nod.frozen {
+			rec := httptest.NewRecorder()
+			req.Header.Set("Accept-Encoding", "gzip")
+			nod.Handler().ServeHTTP(rec, req)
+			rsp = rec.Result()
+			// The transport of TCP decompresses as well.
+			rsp.Body, err = gzip.NewReader(rsp.Body)
+			return rsp, err
+		}
+	}
+	<-req.Context().Done()
+	return nil, req.Context().Err()
+}
+
+func newTestDomain(ctx context.Context, size int) (dom *testDomain) {
+	dom = &testDomain{store: fakes.NewRecordStore()}
+	dom.store.Set(router.Manifests, "config", []byte("first"))
+	for num := range size {
+		nod := &domainNode{store: domainStore{RecordStore: dom.store}}
+		nod.follower = follow.New(follow.Options{
+			Source: &nod.store, Kind: router.Manifests, Log: slog.New(slog.DiscardHandler),
+			Apply: func(upd follow.Update) {
+				for _, rec := range upd.Changed {
+					nod.value.Store(string(rec.Value))
+				}
+			},
+			UsePeers: func() bool { return nod.follower.Version() > 0 && nod.KeepsCurrent(nod.follower) },
+		})
+		nod.Mesh = New(Options{
+			Self:   router.Member{Name: fmt.Sprintf("node-%d", num), Address: fmt.Sprintf("10.0.0.%d:1", num+1), FailureDomain: "domain"},
+			Timers: timer.Real{}, Log: slog.New(slog.DiscardHandler), Codec: fakes.Codec{}, Load: emptyLoad{},
+			Copies: map[router.RecordKind]*follow.Follower{router.Manifests: nod.follower}, Transport: dom,
+		})
+		dom.nodes = append(dom.nodes, nod)
+	}
+	slices.SortFunc(dom.nodes, func(one, two *domainNode) int {
+		return cmp.Compare(xxhash.Sum64String(one.options.Self.Name), xxhash.Sum64String(two.options.Self.Name))
+	})
+	for _, nod := range dom.nodes {
+		for _, oth := range dom.nodes {
+			if oth != nod {
+				if err := nod.addMember(oth.options.Self, 1); err != nil {
+					panic(err)
+				}
+			}
+		}
+		nod.membersRead = true
+		go nod.follower.Run(ctx)
+		go dom.sendDigests(ctx, nod)
+	}
+	return dom
+}
+
+func (dom *testDomain) sendDigests(ctx context.Context, nod *domainNode) {
+	self := nod.options.Self
+	for ctx.Err() == nil {
+		dig := &wire.Digest{
+			Node: self.Name, FailureDomain: self.FailureDomain, Incarnation: nod.incarnation, Address: self.Address, Versions: make(map[string]int64),
+		}
+		nod.addCopies(dig)
+		nod.prepareDigest(dig)
+		if nod.outdated {
+			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs, dig.Reads = 0, 0, true
+		}
+		for _, oth := range dom.nodes {
+			if oth != nod && !nod.frozen && !oth.frozen && oth.acceptDigest(dig) {
+				oth.fetchNewerCopies(ctx, dig)
+			}
+		}
+		timer.Sleep(ctx, nod.digestInterval())
+	}
+}
+
+// TestCopiesAreCurrentWithoutReaders guards against nodes that act on an old configuration although they reach the store,
+// because the nodes that watch it for them get no answers and do not notice, or do not run. The change comes at different
+// times after the trouble.
+func TestCopiesAreCurrentWithoutReaders(t *testing.T) {
+	const size, troubled = 6, 2
+	cases := map[string]func(nod *domainNode){
+		"all reach the store":                 func(*domainNode) {},
+		"readers get no answers":              func(nod *domainNode) { nod.store.silent.Store(true) },
+		"readers are frozen":                  func(nod *domainNode) { nod.frozen = true; nod.store.silent.Store(true) },
+		"readers of an older release are old": func(nod *domainNode) { nod.outdated = true; nod.store.silent.Store(true) },
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			for step := range time.Duration(40) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					dom := newTestDomain(ctx, size)
+					time.Sleep(10 * time.Second)
+					for _, nod := range dom.nodes[:troubled] {
+						trouble(nod)
+					}
+					time.Sleep(step * 100 * time.Millisecond)
+					dom.store.Set(router.Manifests, "config", []byte("second"))
+					time.Sleep(applyLimit)
+					for num, nod := range dom.nodes[troubled:] {
+						if nod.value.Load() != "second" {
+							t.Errorf("node %d has the first configuration %s after a change, made %s after the trouble",
+								troubled+num, applyLimit, step*100*time.Millisecond)
+						}
+					}
+				})
+				if t.Failed() {
+					return
+				}
+			}
+		})
+	}
+}
+
+// TestFewNodesWatchTheStore guards against nodes that all call the store, because the confirmations of the readers come too late.
+func TestFewNodesWatchTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		dom := newTestDomain(ctx, 6)
+		time.Sleep(10 * time.Second)
+		before := dom.store.Calls()
+		const duration = time.Minute
+		for num := range int(duration / (5 * time.Second)) {
+			dom.store.Set(router.Manifests, "config", []byte(fmt.Sprint(num)))
+			time.Sleep(5 * time.Second)
+		}
+		// Of each failure domain one node watches, with one call in 1.25 s and one for each change.
+		const limit = 1.1 * (float64(duration)/1.25/float64(time.Second) + float64(duration/(5*time.Second)))
+		if got := float64(dom.store.Calls() - before); got > limit {
+			t.Errorf("%.0f calls in %s, at most %.0f are expected", got, duration, limit)
+		}
+	})
+}
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,11 +23,7 @@
 		Address:       self.Address,
 		Versions:      make(map[string]int64, len(msh.options.Copies)),
 	}
-	dig.Reads = true
-	for knd, fol := range msh.options.Copies {
-		dig.Versions[string(knd)] = fol.LastChange()
-		dig.Reads = dig.Reads && fol.OutageDuration() == 0 && !fol.UsesPeers()
-	}
+	msh.addCopies(dig)
 	msh.options.Load.AddLocal(dig)
 	recipients := msh.prepareDigest(dig)
 	mentions := dig.LivePeers
@@ -48,6 +45,21 @@
 	}
 }
 
+// addCopies adds the state of the copies to a digest: their versions, and what is known of all of them.
+func (msh *Mesh) addCopies(dig *wire.Digest) {
+	dig.Reads = true
+	first := true
+	for knd, fol := range msh.options.Copies {
+		dig.Versions[string(knd)] = fol.LastChange()
+		dig.Reads = dig.Reads && fol.WatchesStore()
+		storeMs, age := fol.Confirmed()
+		if first || storeMs < dig.ConfirmedStoreMs {
+			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs = storeMs, uint32(min(age.Milliseconds(), math.MaxUint32))
+		}
+		first = false
+	}
+}
+
 // placementsOfLast returns the placements of the given number of last digests, each prefix and upstream once. Other regions
 // get only those of prefixes that are cached: placements are most of the traffic between regions, and a node there has
 // little use for a prefill that is still queued.
--- a/internal/router/mesh/doc.go
+++ b/internal/router/mesh/doc.go
@@ -12,9 +12,11 @@
 //     crashed upstreams, and the versions of its copies of the platform's records.
 //   - Copies: a node whose copy of the records is older than a peer's, for example during
 //     an outage of the store, fetches the newer changes from the peer by HTTP. In normal
-//     operation only a few nodes of each failure domain watch the store (the readers: the
-//     live ones with the lowest hashes of their names), and the others fetch the changes
-//     from them.
+//     operation only one node of each failure domain watches the store (the reader: the
+//     live one with the lowest hash of its name), and the others fetch the changes
+//     from it. Digests also confirm copies: they carry the time of the store's clock up to
+//     which the sender's copies hold all changes. A node whose copies are not confirmed in
+//     time watches the store itself, whatever the readers report.
 //
 // All state here is soft: when it is lost, placement is worse for a moment, and nothing
 // else.
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -34,9 +35,11 @@
 	// deadPeerEvery means that a lost peer gets only each tenth digest.
 	deadPeerEvery = 10
 	// readersPerDomain is how many nodes of a failure domain watch the store; the others get its
-	// changes from them. A watch whose response is lost delivers nothing until its call times out,
-	// so that one reader is not enough.
-	readersPerDomain = 2
+	// changes from them, and watch it themselves when their copies are not confirmed in time.
+	readersPerDomain = 1
+	// maxCopyAge is how long ago a copy that comes from peers may last have been current. Readers confirm their copies at least
+	// every 1.3 s, and a change must be in force 3 s after it was made.
+	maxCopyAge = 2 * time.Second
 	// initialReadDelay is how long after its start a node leaves the initial read of the store to
 	// the nodes that rank before it (see countPreceding), and initialReadStep is added for each of these, so that the
 	// others do not all read at once.
@@ -85,6 +88,8 @@
 	Copies map[router.RecordKind]*follow.Follower
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
+	// Transport carries the calls to peers; nil means TCP.
+	Transport http.RoundTripper
 }
 
 // Mesh exchanges digests with all peers and tracks which of them are live.
@@ -149,8 +154,12 @@
 		peers: make(map[string]*peer), byMention: make(map[uint32]*peer), mentioned: make(map[string]time.Time),
 	}
 	msh.transitions, msh.timeout = transitionLog{log: opt.Log}, minPeerTimeout
+	tra := opt.Transport
+	if tra == nil {
+		tra = peerTransport
+	}
 	for knd, fol := range opt.Copies {
-		msh.copiers = append(msh.copiers, &copier{kind: knd, follower: fol})
+		msh.copiers = append(msh.copiers, &copier{kind: knd, follower: fol, transport: tra})
 	}
 	return msh
 }
@@ -232,6 +241,13 @@
 	return live >= readersPerDomain
 }
 
+// KeepsCurrent reports whether this node gets the changes to a copy from peers: others watch the store or are about to, and the
+// copy was current a short time ago. A copy that peers do not confirm may be old, because they do not notice that the store no
+// longer answers them, or because they are gone.
+func (msh *Mesh) KeepsCurrent(fol *follow.Follower) bool {
+	return (msh.HasStoreReaders() || msh.DeferWatch()) && fol.IsCurrent(maxCopyAge)
+}
+
 // DeferInitialRead reports whether this node leaves the initial read of the store to other nodes
 // that start at the same time.
 func (msh *Mesh) DeferInitialRead() bool {
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -229,7 +229,9 @@
 	// AfterOutage is set for a short time after an outage of the store has ended. Records may have
 	// expired during the outage although their owners are alive and will write them again.
 	AfterOutage bool
-	Records     []Record
+	// StoreMs is the store's monotonic clock in milliseconds when it answered; zero if unknown.
+	StoreMs int64
+	Records []Record
 }
 
 // ErrCompacted reports that the store has discarded the requested history.
