Claim a copy complete only up to the version of its listing

A node could lack a change to an upstream's record for good, for instance that it is draining.

Cause: the pages of a long listing are read one after the other. A record of a later page may be newer than the listing's version, and the copy then claimed to hold all changes up to that record (LastChange). Peers were asked for newer changes only, and their answer moved the version of the copy past the change that the first page had missed.

LastChange now stops at the version of the answer, on the node that read the listing and on those that copy it.

Evidence: TestListingOfSeveralPagesIsCompleted failed with two records of three in both cases.

--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -73,7 +73,7 @@
 	records map[string]router.Record
 	// version is the store version that the copy is current to; zero before the first read.
 	version int64
-	// lastChange is the version of the newest change in the copy. It can be below version, because
+	// lastChange is the version of the newest change up to which the copy is complete. It can be below version, because
 	// the store numbers the changes of all kinds together.
 	lastChange int64
 	// deletions holds the versions at which records were deleted, by key. deletionsDropped is the
@@ -353,7 +353,7 @@
 	}
 	fol.version = max(fol.version, chs.Version)
 	fol.loaded = true
-	fol.recordVersions(upd.Changed)
+	fol.recordVersions(upd.Changed, chs.Version)
 	fol.recordKnown(chs)
 	version := fol.version
 	if len(upd.Changed) > 0 || upd.StoreRecovered {
@@ -367,10 +367,11 @@
 	return len(upd.Changed)
 }
 
-// recordVersions updates lastChange and the deletions kept for peers.
-func (fol *Follower) recordVersions(changed []router.Record) {
+// recordVersions updates lastChange and the deletions kept for peers. The changes are complete up to a version only: a listing
+// of several pages holds newer records, but not all of them.
+func (fol *Follower) recordVersions(changed []router.Record, complete int64) {
 	for _, rec := range changed {
-		fol.lastChange = max(fol.lastChange, rec.Version)
+		fol.lastChange = max(fol.lastChange, min(rec.Version, complete))
 		if rec.Deleted {
 			fol.deletions[rec.Key] = rec.Version
 		} else {
@@ -393,7 +394,7 @@
 		return
 	}
 	for _, rec := range chs.Records {
-		fol.lastChange = max(fol.lastChange, rec.Version)
+		fol.lastChange = max(fol.lastChange, min(rec.Version, chs.Version))
 		if _, fnd := fol.records[rec.Key]; rec.Deleted && !fnd {
 			fol.deletions[rec.Key] = max(fol.deletions[rec.Key], rec.Version)
 		}
--- a/internal/router/follow/follow_test.go
+++ b/internal/router/follow/follow_test.go
@@ -311,3 +311,36 @@
 		})
 	}
 }
+
+// TestListingOfSeveralPagesIsCompleted guards against a copy that lacks a change for good: the change was made in the range of
+// the first page of a listing while the second page was read, which has a newer change. Peers are asked for changes after the
+// newest one that the copy claims to be complete to.
+func TestListingOfSeveralPagesIsCompleted(t *testing.T) {
+	newFollower := func() *follow.Follower {
+		return follow.New(follow.Options{Log: slog.New(slog.DiscardHandler), Apply: func(follow.Update) {}})
+	}
+	listing := router.Changes{Version: 3, Snapshot: true, Records: []router.Record{{Key: "a", Version: 1}, {Key: "z", Version: 5}}}
+	whole := router.Changes{Version: 5, Snapshot: true, Records: []router.Record{
+		{Key: "a", Version: 1}, {Key: "b", Version: 4}, {Key: "z", Version: 5},
+	}}
+	cases := map[string]func(incomplete *follow.Follower) *follow.Follower{
+		"the node that read the listing": func(inc *follow.Follower) *follow.Follower { return inc },
+		"a node that copied it": func(inc *follow.Follower) *follow.Follower {
+			fol := newFollower()
+			fol.MergePeer(inc.ChangesSince(0))
+			return fol
+		},
+	}
+	for name, pick := range cases {
+		t.Run(name, func(t *testing.T) {
+			incomplete, complete := newFollower(), newFollower()
+			incomplete.MergePeer(listing)
+			complete.MergePeer(whole)
+			fol := pick(incomplete)
+			fol.MergePeer(complete.ChangesSince(fol.LastChange()))
+			if got := len(fol.Snapshot().Records); got != 3 {
+				t.Errorf("%d records, want 3", got)
+			}
+		})
+	}
+}
