Log the parts of requests with which upstreams crashed

The lines did not tell which parts of the prompt these requests share, nor which of them the upstream had begun to answer.

--- a/internal/router/send/crash.go
+++ b/internal/router/send/crash.go
@@ -42,12 +42,22 @@
 }
 
 // confirmCrash reports a crash if an upstream whose connection broke accepts no new connection.
-func (snd *Sender) confirmCrash(request, digest string, ins router.Instance) {
-	if snd.probe(request, ins) {
+// begun is set if the upstream had begun to answer the request.
+func (snd *Sender) confirmCrash(cal *router.Call, digest string, ins router.Instance, begun bool) {
+	if snd.probe(cal.ID, ins) {
 		return
 	}
 	snd.options.OnCrash(guard.Crash{Digest: digest, Upstream: place.InstanceKey(ins), At: snd.options.Timers.Now()})
-	snd.options.Log.Info("upstream crashed with request", "Request", request, "Digest", digest, "Upstream", ins.ID)
+	snd.options.Log.Info("upstream crashed with request", "Request", cal.ID, "Digest", digest, "Upstream", ins.ID,
+		"Begun", begun, "Parts", partNames(cal.Prompt))
+}
+
+// partNames returns the hashes of the parts of a prompt that requests share, in hexadecimal.
+func partNames(prompt []router.PromptPart) (names []string) {
+	for _, prt := range prompt[:max(0, len(prompt)-1)] {
+		names = append(names, strconv.FormatUint(prt.ID, 16))
+	}
+	return names
 }
 
 // probe reports whether an upstream accepts connections; one that does not is ejected, that is, excluded from
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -162,6 +162,7 @@
 		act.maxGap = max(act.maxGap, now.Sub(act.lastEventAt))
 	}
 	act.lastEventAt = now
+	act.begun = true
 	if !act.responseStarted {
 		act.responseStarted = true
 		act.firstEvent = now.Sub(act.job.Call.Arrived)
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -143,6 +143,8 @@
 	firstEvent      time.Duration
 	events          int
 	estimate        place.Estimate
+	// begun is set once the upstream of the current attempt has sent an event.
+	begun bool
 	// lastEventAt is when the last events were relayed, and maxGap the longest time between two of these writes.
 	lastEventAt time.Time
 	maxGap      time.Duration
@@ -244,6 +246,7 @@
 		opt.Log.Info("sent again", "Request", act.job.Call.ID, "Upstream", ins.ID, "Send", act.attempts+1, "After", act.reason)
 	}
 	act.attempts++
+	act.begun = false
 	sub, cancel := act.attemptContext(ctx)
 	defer cancel()
 	sta, res = act.exchange(sub, ins, con, rsv)
@@ -349,7 +352,7 @@
 func (act *activeCall) failAttempt(ctx context.Context, what string, ins router.Instance, err error) (attemptState, place.Result) {
 	act.logFailure(what, ins, err)
 	if connectionBroken(err) && ctx.Err() == nil {
-		go act.sender.confirmCrash(act.job.Call.ID, act.digest, ins)
+		go act.sender.confirmCrash(act.job.Call, act.digest, ins, act.begun)
 	}
 	sta := unknown
 	if act.responseStarted {
