Quarantine the part of a prompt that crashes upstreams

Requests of one kind kept crashing upstreams, one after the other, and all that these were answering broke off with them.

Cause: crashes were counted by a digest of the whole request. These requests share one part of the prompt and are otherwise all different, so that none was ever seen twice. The class of fault: identifying the cause of a crash by an identity that is finer than the cause.

A crash now makes those parts suspect that requests share, of the requests that the upstream had not begun to answer; it crashes when it begins. An upstream that begins to answer a request with a part and goes on for 0.3 s clears that part. Three crashes, half a second apart, that a part explains put it in quarantine; the part that explains most comes first, and the others must explain three of the rest. Parts that occurred only together are refused only together, so that sound requests with one of them go on and show which one it is.

The report of a crash that reached peers of another region after more than a second counted as another crash; a node now drops what it knows.

Ruled out: counting by the caller's key or by the first part, which would refuse sound requests; refusing a part after the first crash.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -142,6 +142,7 @@
 			Budget:     nod.budget,
 			Guard:      grd,
 			OnCrash:    pes.recordCrash,
+			OnAnswer:   pes.recordAnswered,
 			Log:        opt.Log,
 			RetryShare: retryBudgetFactor * set.Platform.RetryShare,
 		}),
--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
@@ -19,6 +20,8 @@
 
 	mut     sync.Mutex
 	crashes []guard.Crash
+	// cleared holds the parts of prompts that this node cleared of crashes since the last digest.
+	cleared []uint64
 }
 
 // recordCrash records a crash detected by this node and reports it to the peers, unless it is
@@ -32,12 +35,31 @@
 	pes.crashes = append(pes.crashes, crs)
 }
 
-// drainCrashes returns the crashes recorded since the last digest. Package mesh sees to it that each peer gets them.
-func (pes *peerState) drainCrashes() (css []guard.Crash) {
+// recordAnswered clears parts of prompts with which an upstream began to answer a request, and reports those that were suspect
+// to the peers.
+func (pes *peerState) recordAnswered(parts []uint64, begun time.Time) {
+	cleared := pes.guard.Answered(parts, begun)
+	if len(cleared) == 0 {
+		return
+	}
 	pes.mut.Lock()
 	defer pes.mut.Unlock()
-	css, pes.crashes = pes.crashes, nil
-	return css
+	pes.cleared = append(pes.cleared, cleared...)
+}
+
+// drainStrikes returns the crashes recorded and the parts cleared since the last digest. Package mesh sees to it that each
+// peer gets them.
+func (pes *peerState) drainStrikes() (sks []*wire.CrashStrike) {
+	pes.mut.Lock()
+	defer pes.mut.Unlock()
+	for _, crs := range pes.crashes {
+		sks = append(sks, &wire.CrashStrike{Request: crs.Digest, Instance: crs.Upstream, Parts: crs.Parts})
+	}
+	if len(pes.cleared) > 0 {
+		sks = append(sks, &wire.CrashStrike{Answered: pes.cleared})
+	}
+	pes.crashes, pes.cleared = nil, nil
+	return sks
 }
 
 // AddLocal adds this node's load, and its new crashes and prefix placements, to a digest.
@@ -63,9 +85,7 @@
 		}
 		dig.Demands = append(dig.Demands, msg)
 	}
-	for _, crs := range pes.drainCrashes() {
-		dig.Strikes = append(dig.Strikes, &wire.CrashStrike{Request: crs.Digest, Instance: crs.Upstream})
-	}
+	dig.Strikes = append(dig.Strikes, pes.drainStrikes()...)
 	for _, plc := range pes.balancer.DrainPlacements() {
 		dig.Placements = append(dig.Placements, &wire.Placement{Prefix: plc.Prefix, Instance: plc.Instance, Read: plc.Cached})
 	}
@@ -91,10 +111,7 @@
 	}
 	pes.balancer.SetPeerLoads(dig.GetNode(), infs)
 	pes.balancer.SetPeerDemand(dig.GetNode(), decodeDemands(dig.GetDemands()))
-	for _, crs := range dig.GetStrikes() {
-		// The guard drops the repeats of a crash in later digests.
-		pes.guard.Add(guard.Crash{Digest: crs.GetRequest(), Upstream: crs.GetInstance(), At: pes.timers.Now()})
-	}
+	pes.AddStrikes(dig.GetStrikes())
 	pls := make([]place.Placement, 0, len(dig.GetPlacements()))
 	for _, plc := range dig.GetPlacements() {
 		pls = append(pls, place.Placement{Prefix: plc.GetPrefix(), Instance: plc.GetInstance(), Cached: plc.GetRead()})
@@ -102,6 +119,22 @@
 	pes.balancer.AddPeerPlacements(pls)
 }
 
+// AddStrikes records crashes that a peer reports. A report is repeated, to peers of other regions seconds later; an incarnation of
+// an upstream crashes once.
+func (pes *peerState) AddStrikes(sks []*wire.CrashStrike) {
+	now := pes.timers.Now()
+	for _, crs := range sks {
+		if len(crs.GetAnswered()) > 0 {
+			pes.guard.Answered(crs.GetAnswered(), now)
+			continue
+		}
+		if pes.guard.HasCrash(crs.GetRequest(), crs.GetInstance()) {
+			continue
+		}
+		pes.guard.Add(guard.Crash{Digest: crs.GetRequest(), Upstream: crs.GetInstance(), At: now, Parts: crs.GetParts()})
+	}
+}
+
 // RemovePeer removes the load of a peer that is no longer live.
 func (pes *peerState) RemovePeer(name string) {
 	pes.balancer.SetPeerLoads(name, nil)
--- a/internal/router/edge/peers_test.go
+++ b/internal/router/edge/peers_test.go
@@ -88,6 +88,57 @@
 	}
 }
 
+// TestPeersShareQuarantinedParts guards against a node that sends requests with a deadly part although its peers saw it crash
+// upstreams, and against one that refuses a part which was answered at a peer. Nodes of an older release report no parts.
+func TestPeersShareQuarantinedParts(t *testing.T) {
+	const common, deadly = 1, 2
+	cases := map[string]struct {
+		answered, outdated bool
+		refused            bool
+	}{
+		"crashes at peers":                  {refused: true},
+		"the part is answered at a peer":    {answered: true},
+		"the peers are of an older release": {outdated: true},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			one, two := newPeerFixture(t), newPeerFixture(t)
+			tms := two.timers.(*timer.Manual)
+			exchange := func() {
+				dig := &wire.Digest{Node: "one"}
+				one.AddLocal(dig)
+				if cas.outdated {
+					for _, stk := range dig.Strikes {
+						stk.Parts = nil
+					}
+				}
+				// Reports are repeated.
+				for range 3 {
+					two.SetPeer(dig)
+					tms.Advance(5 * time.Second)
+				}
+			}
+			for num := range 3 {
+				one.recordCrash(guard.Crash{Digest: fmt.Sprint(num), Upstream: fmt.Sprint(num), At: one.timers.Now(), Parts: []uint64{common, deadly}})
+				one.timers.(*timer.Manual).Advance(15 * time.Second)
+				exchange()
+			}
+			if cas.answered {
+				one.recordAnswered([]uint64{common, deadly}, one.timers.Now())
+				exchange()
+			}
+			if got := two.guard.HasQuarantinedPart([]uint64{common, deadly}); got != cas.refused {
+				t.Errorf("refused: %t, want %t", got, cas.refused)
+			}
+			for num := range 3 {
+				if two.guard.IsQuarantined(fmt.Sprint(num)) {
+					t.Errorf("request %d is quarantined after one crash", num)
+				}
+			}
+		})
+	}
+}
+
 // FuzzDigest checks that no datagram of a peer ends the process or leaves a load behind that is no number.
 func FuzzDigest(f *testing.F) {
 	seed, err := proto.Marshal(&wire.Digest{
--- a/internal/router/guard/doc.go
+++ b/internal/router/guard/doc.go
@@ -9,7 +9,12 @@
 // innocent request does not share the second crash of the one that caused the
 // first.
 //
-// The nodes send each other the crashes that they record, because the caller may
+// A part of a prompt may be what crashes upstreams, in requests that are all different. A crash makes those parts suspect that
+// requests share, of the requests that the upstream had not begun to answer: it crashes when it begins. An upstream
+// that begins to answer a request with a part clears that part of all crashes before. The parts that explain most of
+// the crashes are quarantined.
+//
+// The nodes send each other the crashes that they record and the parts that they clear, because the caller may
 // repeat the request at any node. Crashes expire and are not persisted. Once they
 // are lost, a request can cause no more than the configured number of further
 // crashes before it is quarantined again.
--- a/internal/router/guard/guard.go
+++ b/internal/router/guard/guard.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	Digest   string
 	Upstream string
 	At       time.Time
+	// Parts holds the parts of the prompt that requests share, if the upstream had not begun to answer.
+	Parts []uint64
 }
 
 // Guard holds the crashes of each request by digest. It is sharded to reduce lock contention.
@@ -30,6 +33,7 @@
 	// maxCrashes is the number of crashes after which a request is quarantined.
 	maxCrashes int
 	shards     [shardCount]shard
+	parts      *partGuard
 }
 
 type shard struct {
@@ -40,7 +44,7 @@
 // New returns an empty Guard that quarantines a request after maxCrashes crashes. It expires old crashes until
 // stop is called.
 func New(tms router.Timers, maxCrashes int) (grd *Guard, stop func()) {
-	grd = &Guard{timers: tms, maxCrashes: maxCrashes}
+	grd = &Guard{timers: tms, maxCrashes: maxCrashes, parts: newPartGuard()}
 	for idx := range grd.shards {
 		grd.shards[idx].crashes = make(map[string][]Crash)
 	}
@@ -57,10 +61,20 @@
 			return false
 		}
 	}
+	grd.parts.add(crs)
+	crs.Parts = nil
 	shd.crashes[crs.Digest] = append(shd.crashes[crs.Digest], crs)
 	return true
 }
 
+// HasCrash reports whether a crash of an upstream is recorded for a request.
+func (grd *Guard) HasCrash(digest, upstream string) bool {
+	shd := grd.shard(digest)
+	shd.mut.Lock()
+	defer shd.mut.Unlock()
+	return slices.ContainsFunc(shd.crashes[digest], func(crs Crash) bool { return crs.Upstream == upstream })
+}
+
 // Clear removes the crashes of a request that completed, unless it is quarantined.
 func (grd *Guard) Clear(digest string) {
 	shd := grd.shard(digest)
@@ -71,6 +85,17 @@
 	}
 }
 
+// Answered records that an upstream began to answer a request with these parts and did not crash. That clears them of the
+// crashes before begun. It returns the parts that were suspect.
+func (grd *Guard) Answered(parts []uint64, begun time.Time) (cleared []uint64) {
+	return grd.parts.answered(parts, begun)
+}
+
+// HasQuarantinedPart reports whether a request with these parts of its prompt must not be run.
+func (grd *Guard) HasQuarantinedPart(parts []uint64) bool {
+	return grd.parts.isQuarantined(parts)
+}
+
 // TotalCrashes returns the number of crashes recorded for all requests.
 func (grd *Guard) TotalCrashes() (num int) {
 	for idx := range grd.shards {
@@ -109,6 +134,7 @@
 }
 
 func (grd *Guard) expire(now time.Time) {
+	grd.parts.expire(now)
 	for idx := range grd.shards {
 		grd.shards[idx].expire(now)
 	}
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -28,20 +28,28 @@
 	recipients := msh.prepareDigest(dig)
 	mentions := dig.LivePeers
 	for evr, adrs := range recipients {
+		if evr == notDue {
+			msh.sendTo(soc, adrs, &wire.Digest{Strikes: msh.recentStrikes[len(msh.recentStrikes)-1]})
+			continue
+		}
 		dig.LivePeers = nil
 		if evr > 1 {
 			dig.LivePeers = mentions
 		}
 		dig.Placements, dig.Strikes = msh.placementsOfLast(evr), msh.strikesOfLast(evr)
-		txt, err := proto.Marshal(dig)
-		if err != nil || len(txt) > maxDigestBytes {
-			msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
-			continue
-		}
-		for _, adr := range adrs {
-			// A lost datagram is superseded by the next one.
-			_, _ = soc.WriteToUDP(txt, adr)
-		}
+		msh.sendTo(soc, adrs, dig)
+	}
+}
+
+// sendTo sends a digest to addresses. A lost datagram is superseded by the next one.
+func (msh *Mesh) sendTo(soc *net.UDPConn, adrs []*net.UDPAddr, dig *wire.Digest) {
+	txt, err := proto.Marshal(dig)
+	if err != nil || len(txt) > maxDigestBytes {
+		msh.options.Log.Warn("digest not sent", "Bytes", len(txt), "Error", err)
+		return
+	}
+	for _, adr := range adrs {
+		_, _ = soc.WriteToUDP(txt, adr)
 	}
 }
 
@@ -94,6 +102,10 @@
 	return sks
 }
 
+// notDue is the key of live peers that get no digest in this round, but its new crashes, in a datagram that has nothing else.
+// In a large fleet the digests to other regions are too rare to stop requests that crash upstreams.
+const notDue = 0
+
 // prepareDigest sets the sequence number of the next digest and returns the addresses to send it
 // to, by the number of digests since the last one that they got. It also expires silent peers.
 func (msh *Mesh) prepareDigest(dig *wire.Digest) (adrs map[int][]*net.UDPAddr) {
@@ -119,6 +131,8 @@
 		// Nodes that start together send at the same time; a peer should not get their digests all at once.
 		if (msh.sequence+xxhash.Sum64String(nam)+own)%uint64(evr) == 0 {
 			adrs[min(evr, crossRegionEvery)] = append(adrs[min(evr, crossRegionEvery)], per.address)
+		} else if per.live && len(dig.GetStrikes()) > 0 {
+			adrs[notDue] = append(adrs[notDue], per.address)
 		}
 	}
 	msh.recentStrikes = append(msh.recentStrikes, dig.GetStrikes())
@@ -146,7 +160,12 @@
 			continue
 		}
 		var dig wire.Digest
-		if err := proto.Unmarshal(buf[:num], &dig); err != nil || dig.GetNode() == "" {
+		err = proto.Unmarshal(buf[:num], &dig)
+		if err == nil && dig.GetNode() == "" && len(dig.GetStrikes()) > 0 {
+			msh.options.Load.AddStrikes(dig.GetStrikes())
+			continue
+		}
+		if err != nil || dig.GetNode() == "" {
 			msh.options.Log.Info("datagram ignored", "Bytes", num)
 			continue
 		}
--- a/internal/router/mesh/fleet_test.go
+++ b/internal/router/mesh/fleet_test.go
@@ -38,9 +38,10 @@
 // countingLoad counts the peers that were lost.
 type countingLoad struct{ lost *int }
 
-func (countingLoad) AddLocal(*wire.Digest)   {}
-func (countingLoad) SetPeer(*wire.Digest)    {}
-func (lod countingLoad) RemovePeer(_ string) { *lod.lost++ }
+func (countingLoad) AddLocal(*wire.Digest)          {}
+func (countingLoad) SetPeer(*wire.Digest)           {}
+func (countingLoad) AddStrikes([]*wire.CrashStrike) {}
+func (lod countingLoad) RemovePeer(_ string)        { *lod.lost++ }
 
 // testFleet is a fleet that exchanges digests by the clock of a manual timer, without a network.
 type testFleet struct {
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -157,9 +157,10 @@
 // emptyLoad is a LoadState without any load.
 type emptyLoad struct{}
 
-func (emptyLoad) AddLocal(*wire.Digest) {}
-func (emptyLoad) SetPeer(*wire.Digest)  {}
-func (emptyLoad) RemovePeer(string)     {}
+func (emptyLoad) AddLocal(*wire.Digest)          {}
+func (emptyLoad) SetPeer(*wire.Digest)           {}
+func (emptyLoad) RemovePeer(string)              {}
+func (emptyLoad) AddStrikes([]*wire.CrashStrike) {}
 
 // TestInitialReadIsDeferredInLargeFleets guards against a large fleet that overloads the network
 // link of the store when all nodes start at once: only the first nodes of each failure domain may
@@ -290,3 +291,27 @@
 		})
 	}
 }
+
+// TestNewCrashesGoToAllPeersAtOnce guards against requests that go on crashing upstreams from nodes that get few digests.
+func TestNewCrashesGoToAllPeersAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		strikes []*wire.CrashStrike
+		all     bool
+	}{
+		"no crash": {},
+		"a crash":  {strikes: []*wire.CrashStrike{{Request: "r", Instance: "u", Parts: []uint64{1}}}, all: true},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			fle := newTestFleet(fleetSize)
+			fle.run(2 * time.Second)
+			sent := 0
+			for _, adrs := range fle.nodes[0].prepareDigest(&wire.Digest{Strikes: cas.strikes}) {
+				sent += len(adrs)
+			}
+			if got := sent == fleetSize-1; got != cas.all {
+				t.Errorf("%d of %d peers get a datagram in this round", sent, fleetSize-1)
+			}
+		})
+	}
+}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -71,6 +71,8 @@
 	AddLocal(dig *wire.Digest)
 	// SetPeer applies the digest of a peer. Its load replaces the one of the peer's last digest.
 	SetPeer(dig *wire.Digest)
+	// AddStrikes applies crashes that a peer reports outside of its digests.
+	AddStrikes(sks []*wire.CrashStrike)
 	// RemovePeer removes the load of a peer that is no longer live.
 	RemovePeer(name string)
 }
--- a/internal/router/mesh/mesh_test.go
+++ b/internal/router/mesh/mesh_test.go
@@ -41,6 +41,8 @@
 	}
 }
 
+func (fakeLoad) AddStrikes([]*wire.CrashStrike) {}
+
 func (lod fakeLoad) RemovePeer(name string) { lod.removed <- name }
 
 type node struct {
--- a/internal/router/send/crash.go
+++ b/internal/router/send/crash.go
@@ -21,6 +21,12 @@
 // an innocent request twice, so guard.DefaultMaxCrashes would be too few.
 const MaxCrashes = 3
 
+// provenAfter is how long an upstream must go on after the first event of an answer for the call to count as harmless.
+const provenAfter = 300 * time.Millisecond
+
+// quarantineRetryAfter is the Retry-After of calls that crashed upstreams.
+const quarantineRetryAfter = time.Minute
+
 // probeTimeout limits connecting to an upstream to find out whether it is still up.
 const probeTimeout = time.Second
 
@@ -41,25 +47,56 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// confirmCrash reports a crash if an upstream whose connection broke accepts no new connection.
-// begun is set if the upstream had begun to answer the request.
-func (snd *Sender) confirmCrash(cal *router.Call, digest string, ins router.Instance, begun bool) {
+// confirmCrash reports a crash if an upstream whose connection broke accepts no new connection. suspects holds the parts of the
+// prompt that may have crashed it.
+func (snd *Sender) confirmCrash(cal *router.Call, digest string, ins router.Instance, suspects []uint64) {
 	if snd.probe(cal.ID, ins) {
 		return
 	}
-	snd.options.OnCrash(guard.Crash{Digest: digest, Upstream: place.InstanceKey(ins), At: snd.options.Timers.Now()})
-	snd.options.Log.Info("upstream crashed with request", "Request", cal.ID, "Digest", digest, "Upstream", ins.ID,
-		"Begun", begun, "Parts", partNames(cal.Prompt))
+	snd.options.OnCrash(guard.Crash{Digest: digest, Upstream: place.InstanceKey(ins), At: snd.options.Timers.Now(), Parts: suspects})
+	snd.options.Log.Info("upstream crashed with request", "Request", cal.ID, "Digest", digest, "Upstream", ins.ID, "Suspects", partNames(suspects))
 }
 
-// partNames returns the hashes of the parts of a prompt that requests share, in hexadecimal.
-func partNames(prompt []router.PromptPart) (names []string) {
+// sharedParts returns the hashes of the parts of a prompt that requests share: all but the last.
+func sharedParts(prompt []router.PromptPart) (parts []uint64) {
 	for _, prt := range prompt[:max(0, len(prompt)-1)] {
-		names = append(names, strconv.FormatUint(prt.ID, 16))
+		parts = append(parts, prt.ID)
+	}
+	return parts
+}
+
+// partNames returns hashes of parts in hexadecimal.
+func partNames(parts []uint64) (names []string) {
+	for _, prt := range parts {
+		names = append(names, strconv.FormatUint(prt, 16))
 	}
 	return names
 }
 
+// suspectParts returns the parts that may have crashed the upstream of the current attempt: none if it had answered for some
+// time.
+func (act *activeCall) suspectParts() (parts []uint64) {
+	if act.proven || !act.begunAt.IsZero() && act.sender.options.Timers.Now().Sub(act.begunAt) >= provenAfter {
+		return nil
+	}
+	return act.parts
+}
+
+// prove reports that the upstream of the current attempt answers without a crash.
+func (act *activeCall) prove() {
+	if act.proven || act.begunAt.IsZero() || len(act.parts) == 0 {
+		return
+	}
+	act.proven = true
+	act.sender.options.OnAnswer(act.parts, act.begunAt)
+}
+
+// isQuarantined reports whether the call, or a part of its prompt, crashed too many upstreams.
+func (act *activeCall) isQuarantined() bool {
+	grd := act.sender.options.Guard
+	return grd.IsQuarantined(act.digest) || grd.HasQuarantinedPart(act.parts)
+}
+
 // probe reports whether an upstream accepts connections; one that does not is ejected, that is, excluded from
 // placement for a short time.
 func (snd *Sender) probe(request string, ins router.Instance) bool {
@@ -81,5 +118,7 @@
 	if act.outcome() == router.Unknown {
 		return act.refuse(router.RefuseUnknown(router.CodeQuarantined, "%s", act.reason))
 	}
-	return act.refuse(router.Refuse(http.StatusServiceUnavailable, router.CodeQuarantined, "not run: %s", act.reason))
+	ref := router.Refuse(http.StatusServiceUnavailable, router.CodeQuarantined, "not run: %s", act.reason)
+	ref.RetryAfter = quarantineRetryAfter
+	return act.refuse(ref)
 }
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -71,7 +71,11 @@
 		hdr.Set("Content-Length", strconv.Itoa(len(txt)))
 	}
 	act.status = rsp.StatusCode
-	act.firstEvent = act.sender.options.Timers.Now().Sub(act.job.Call.Arrived)
+	now := act.sender.options.Timers.Now()
+	act.firstEvent = now.Sub(act.job.Call.Arrived)
+	if rsp.StatusCode < http.StatusInternalServerError {
+		act.begunAt = now
+	}
 	act.writer.WriteHeader(rsp.StatusCode)
 	_, _ = act.writer.Write(txt)
 	return completed, res
@@ -162,7 +166,12 @@
 		act.maxGap = max(act.maxGap, now.Sub(act.lastEventAt))
 	}
 	act.lastEventAt = now
-	act.begun = true
+	if act.begunAt.IsZero() {
+		act.begunAt = now
+	}
+	if now.Sub(act.begunAt) >= provenAfter {
+		act.prove()
+	}
 	if !act.responseStarted {
 		act.responseStarted = true
 		act.firstEvent = now.Sub(act.job.Call.Arrived)
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -79,6 +79,8 @@
 	Log      *slog.Logger
 	// OnCrash is called when an upstream crashed while it ran a request.
 	OnCrash func(crs guard.Crash)
+	// OnAnswer is called when an upstream began to answer a request with these shared parts at a time and went on.
+	OnAnswer func(parts []uint64, begun time.Time)
 	// RetryShare is the number of retry tokens that each call adds to the budget of its service, from 0 to 1.
 	RetryShare float64
 }
@@ -101,7 +103,7 @@
 // http.ErrAbortHandler, which closes the connection to the caller.
 func (snd *Sender) Serve(ctx context.Context, job Job, wri http.ResponseWriter) (rep Report) {
 	snd.options.Budget.Get(job.Service).Earn(snd.options.RetryShare)
-	act := &activeCall{sender: snd, job: job, writer: wri, excluded: make(map[string]bool), digest: digest(job.Call)}
+	act := &activeCall{sender: snd, job: job, writer: wri, excluded: make(map[string]bool), digest: digest(job.Call), parts: sharedParts(job.Call.Prompt)}
 	ctx, cancel := context.WithDeadline(ctx, act.deadline())
 	defer cancel()
 	return act.run(ctx)
@@ -131,6 +133,8 @@
 
 	// digest is the digest of the call by which package guard identifies it.
 	digest string
+	// parts holds the hashes of the parts of the prompt that requests share.
+	parts []uint64
 	// excluded holds the keys of the upstream incarnations on which an attempt failed; they are not chosen again.
 	excluded map[string]bool
 	// attempts counts attempts that got a connection; connectFailures counts those that got none.
@@ -143,8 +147,10 @@
 	firstEvent      time.Duration
 	events          int
 	estimate        place.Estimate
-	// begun is set once the upstream of the current attempt has sent an event.
-	begun bool
+	// begunAt is when the upstream of the current attempt sent its first event; zero before. proven is set once it has gone on
+	// for long enough that the call does not crash it.
+	begunAt time.Time
+	proven  bool
 	// lastEventAt is when the last events were relayed, and maxGap the longest time between two of these writes.
 	lastEventAt time.Time
 	maxGap      time.Duration
@@ -173,13 +179,14 @@
 // run makes attempts until one completes, the context ends or no retry is allowed.
 func (act *activeCall) run(ctx context.Context) Report {
 	for {
-		if act.sender.options.Guard.IsQuarantined(act.digest) && !act.responseStarted {
+		if act.isQuarantined() && !act.responseStarted {
 			return act.finishQuarantined()
 		}
 		sta := act.attempt(ctx)
 		switch {
 		case sta == completed:
 			act.sender.options.Guard.Clear(act.digest)
+			act.prove()
 			return act.report(router.Ran)
 		case ctx.Err() != nil:
 			return act.finishExpired(ctx)
@@ -246,7 +253,7 @@
 		opt.Log.Info("sent again", "Request", act.job.Call.ID, "Upstream", ins.ID, "Send", act.attempts+1, "After", act.reason)
 	}
 	act.attempts++
-	act.begun = false
+	act.begunAt, act.proven = time.Time{}, false
 	sub, cancel := act.attemptContext(ctx)
 	defer cancel()
 	sta, res = act.exchange(sub, ins, con, rsv)
@@ -352,7 +359,7 @@
 func (act *activeCall) failAttempt(ctx context.Context, what string, ins router.Instance, err error) (attemptState, place.Result) {
 	act.logFailure(what, ins, err)
 	if connectionBroken(err) && ctx.Err() == nil {
-		go act.sender.confirmCrash(act.job.Call, act.digest, ins, act.begun)
+		go act.sender.confirmCrash(act.job.Call, act.digest, ins, act.suspectParts())
 	}
 	sta := unknown
 	if act.responseStarted {
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -59,6 +59,12 @@
 
 // serveWith is serve with a given crash guard.
 func serveWith(t testing.TB, grd *guard.Guard, rou router.Route, scrs ...*fakes.ScriptedServer) (rec *httptest.ResponseRecorder, rep send.Report, aborted bool) {
+	t.Helper()
+	return serveCall(t, grd, rou, router.Call{Body: []byte("body")}, scrs...)
+}
+
+// serveCall is serveWith for a call with the given body and prompt.
+func serveCall(t testing.TB, grd *guard.Guard, rou router.Route, cal router.Call, scrs ...*fakes.ScriptedServer) (rec *httptest.ResponseRecorder, rep send.Report, aborted bool) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ros := roster.New(roster.Options{Timers: timer.Real{}, Codec: fakes.Codec{}, Log: log, OnRemove: func(router.Instance) {}})
@@ -80,11 +86,12 @@
 		Log:      log,
 		Guard:    grd,
 		OnCrash:  func(crs guard.Crash) { grd.Add(crs) },
+		OnAnswer: func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
 	})
 	rou.Attempts = max(rou.Attempts, 1)
 	rec = httptest.NewRecorder()
 	job := send.Job{Service: "svc", Route: &rou, Call: &router.Call{
-		ID: "call", Method: http.MethodPost, Host: "h", Target: "/", Body: []byte("body"),
+		ID: "call", Method: http.MethodPost, Host: "h", Target: "/", Body: cal.Body, Prompt: cal.Prompt,
 		Header: http.Header{fakes.HeaderID: {"call"}}, Arrived: time.Now(), Deadline: time.Now().Add(jobTimeout),
 	}}
 	defer func() {
@@ -301,6 +308,57 @@
 	}
 }
 
+// TestPartThatCrashesUpstreamsIsRefused guards against requests that crash one upstream after the other because they share a
+// deadly part of the prompt and nothing else identifies them, and against refusing sound requests with the other parts.
+func TestPartThatCrashesUpstreamsIsRefused(t *testing.T) {
+	const common, deadly, sound, crashes = 1, 2, 3, 3
+	grd, stop := guard.New(timer.Real{}, send.MaxCrashes)
+	defer stop()
+	requests := 0
+	call := func(parts ...uint64) (cal router.Call) {
+		requests++
+		cal.Body = []byte{byte(requests)}
+		for _, prt := range append(parts, uint64(1000+requests)) {
+			cal.Prompt = append(cal.Prompt, router.PromptPart{ID: prt, Tokens: 10})
+		}
+		return cal
+	}
+	for num := range crashes {
+		serveCall(t, grd, router.Route{}, call(common, deadly), fakes.NewScriptedServer(t, fakes.ThenCrash))
+		for end := time.Now().Add(jobTimeout); grd.TotalCrashes() <= num && time.Now().Before(end); {
+			runtime.Gosched()
+		}
+		// Crashes at the same time count once.
+		time.Sleep(600 * time.Millisecond)
+		if rec, _, _ := serveCall(t, grd, router.Route{}, call(common, sound), fakes.NewScriptedServer(t, whole)); rec.Code != http.StatusOK {
+			t.Fatalf("sound request after crash %d: status %d", num+1, rec.Code)
+		}
+	}
+	cases := map[string]struct {
+		parts  []uint64
+		status int
+	}{
+		"the deadly part":                 {[]uint64{common, deadly}, http.StatusServiceUnavailable},
+		"the deadly part beside others":   {[]uint64{5, 6, deadly, 7}, http.StatusServiceUnavailable},
+		"the other parts of these":        {[]uint64{common, 5, 6, 7}, http.StatusOK},
+		"the deadly part as the last one": {[]uint64{common}, http.StatusOK},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			scr := fakes.NewScriptedServer(t, whole)
+			cal := call(cas.parts...)
+			if strings.Contains(name, "last") {
+				cal.Prompt[len(cal.Prompt)-1].ID = deadly
+			}
+			rec, rep, _ := serveCall(t, grd, router.Route{}, cal, scr)
+			refused := cas.status != http.StatusOK
+			if rec.Code != cas.status || refused != (rep.Outcome == router.NotRun) || refused != (len(scr.Requests()) == 0) {
+				t.Errorf("status %d, outcome %s, %d sent; want status %d", rec.Code, rep.Outcome, len(scr.Requests()), cas.status)
+			}
+		})
+	}
+}
+
 // TestEndlessResponses guards against an upstream in trouble that fills the memory of the node, holds a call past its
 // deadline, or has a response without an end taken for a complete one.
 func TestEndlessResponses(t *testing.T) {
