Tell started nodes of the crashes of before

Requests with a deadly part went on crashing upstreams from nodes that were killed and started again while the others refused them.

Cause: a node forgets at a restart which requests and parts crash upstreams, and peers report a crash only once, when it happens.

Ruled out: quarantined parts in every digest; a part that one node has cleared would come back from digests on their way.

TestStartedNodeLearnsCrashes, TestStartedNodeGetsHistory.

Not mended: if all nodes are killed at once, nobody knows.

--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -119,6 +119,16 @@
 	pes.balancer.AddPeerPlacements(pls)
 }
 
+// History returns the crashes that a node which has started needs to know.
+func (pes *peerState) History() (sks []*wire.CrashStrike) {
+	now := pes.timers.Now()
+	for _, crs := range pes.guard.PartCrashes() {
+		age := uint32(min(now.Sub(crs.At).Milliseconds(), math.MaxUint32))
+		sks = append(sks, &wire.CrashStrike{Instance: crs.Upstream, Parts: crs.Parts, AgeMs: age})
+	}
+	return sks
+}
+
 // AddStrikes records crashes that a peer reports. A report is repeated, to peers of other regions seconds later; an incarnation of
 // an upstream crashes once.
 func (pes *peerState) AddStrikes(sks []*wire.CrashStrike) {
@@ -128,6 +138,11 @@
 			pes.guard.Answered(crs.GetAnswered(), now)
 			continue
 		}
+		if crs.GetRequest() == "" {
+			at := now.Add(-time.Duration(crs.GetAgeMs()) * time.Millisecond)
+			pes.guard.AddPartCrash(guard.Crash{Upstream: crs.GetInstance(), At: at, Parts: crs.GetParts()})
+			continue
+		}
 		if pes.guard.HasCrash(crs.GetRequest(), crs.GetInstance()) {
 			continue
 		}
--- a/internal/router/edge/peers_test.go
+++ b/internal/router/edge/peers_test.go
@@ -139,6 +139,24 @@
 	}
 }
 
+// TestStartedNodeLearnsCrashes guards against a node that runs requests with a deadly part again after each restart.
+func TestStartedNodeLearnsCrashes(t *testing.T) {
+	one, two := newPeerFixture(t), newPeerFixture(t)
+	for num := range 3 {
+		one.recordCrash(guard.Crash{Digest: fmt.Sprint(num), Upstream: fmt.Sprint(num), At: one.timers.Now(), Parts: []uint64{1, 2}})
+		one.timers.(*timer.Manual).Advance(time.Second)
+	}
+	one.recordAnswered([]uint64{1}, one.timers.Now())
+	// Several nodes send the history.
+	for range 3 {
+		two.AddStrikes(one.History())
+	}
+	if !two.guard.HasQuarantinedPart([]uint64{2}) || two.guard.HasQuarantinedPart([]uint64{1}) {
+		t.Errorf("the deadly part is refused: %t, the sound one: %t",
+			two.guard.HasQuarantinedPart([]uint64{2}), two.guard.HasQuarantinedPart([]uint64{1}))
+	}
+}
+
 // FuzzDigest checks that no datagram of a peer ends the process or leaves a load behind that is no number.
 func FuzzDigest(f *testing.F) {
 	seed, err := proto.Marshal(&wire.Digest{
--- a/internal/router/guard/guard.go
+++ b/internal/router/guard/guard.go
@@ -91,6 +91,16 @@
 	return grd.parts.answered(parts, begun)
 }
 
+// PartCrashes returns the crashes of upstreams that suspect parts may explain, without the requests.
+func (grd *Guard) PartCrashes() (css []Crash) {
+	return grd.parts.crashes()
+}
+
+// AddPartCrash records a crash that PartCrashes of another node returned.
+func (grd *Guard) AddPartCrash(crs Crash) {
+	grd.parts.add(crs)
+}
+
 // HasQuarantinedPart reports whether a request with these parts of its prompt must not be run.
 func (grd *Guard) HasQuarantinedPart(parts []uint64) bool {
 	return grd.parts.isQuarantined(parts)
--- a/internal/router/guard/parts.go
+++ b/internal/router/guard/parts.go
@@ -17,6 +17,8 @@
 	crashSpacing = 500 * time.Millisecond
 	// maxPartEvents bounds the crashes that are kept; the oldest are dropped.
 	maxPartEvents = 256
+	// maxReportedEvents bounds the crashes that a node which has started gets to know, in one datagram.
+	maxReportedEvents = 64
 )
 
 // partGuard quarantines parts of prompts that crash upstreams. It is safe for concurrent use.
@@ -68,6 +70,24 @@
 	pts.update()
 }
 
+// crashes returns the last crashes with the parts that are suspect.
+func (pts *partGuard) crashes() (css []Crash) {
+	pts.mut.Lock()
+	defer pts.mut.Unlock()
+	for _, evt := range pts.events[max(0, len(pts.events)-maxReportedEvents):] {
+		crs := Crash{Upstream: evt.upstream, At: evt.at}
+		for prt, suspect := range evt.parts {
+			if suspect {
+				crs.Parts = append(crs.Parts, prt)
+			}
+		}
+		if len(crs.Parts) > 0 {
+			css = append(css, crs)
+		}
+	}
+	return css
+}
+
 // answered clears parts of the crashes before begun and returns those that were suspect.
 func (pts *partGuard) answered(parts []uint64, begun time.Time) (cleared []uint64) {
 	sus := *pts.suspects.Load()
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -170,12 +170,45 @@
 			continue
 		}
 		if msh.acceptDigest(&dig) {
+			msh.sendHistory(soc, &dig)
 			msh.options.Load.SetPeer(&dig)
 			msh.fetchNewerCopies(ctx, &dig)
 		}
 	}
 }
 
+// sendHistory sends the crashes of before to the sender of a digest if it has started a short time ago and this node is one of those that
+// do so. Otherwise requests that crash upstreams would run on each node again that was restarted.
+func (msh *Mesh) sendHistory(soc *net.UDPConn, dig *wire.Digest) {
+	adr, due := msh.owesHistory(dig)
+	if !due {
+		return
+	}
+	if sks := msh.options.Load.History(); len(sks) > 0 {
+		msh.sendTo(soc, []*net.UDPAddr{adr}, &wire.Digest{Strikes: sks})
+	}
+}
+
+// owesHistory reports whether this node sends the crashes of before to the sender of a digest, and to which address: the digest is one of
+// its first, and few live nodes rank before this one by the hash of both names.
+func (msh *Mesh) owesHistory(dig *wire.Digest) (adr *net.UDPAddr, due bool) {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	per := msh.peers[dig.GetNode()]
+	if per == nil || per.historySent == dig.GetIncarnation() || dig.GetSequence() > maxHistorySequence {
+		return nil, false
+	}
+	per.historySent = dig.GetIncarnation()
+	own := xxhash.Sum64String(msh.options.Self.Name + dig.GetNode())
+	preceding := 0
+	for nam, oth := range msh.peers {
+		if oth != per && oth.live && xxhash.Sum64String(nam+dig.GetNode()) < own {
+			preceding++
+		}
+	}
+	return per.address, preceding < historySenders
+}
+
 // acceptDigest updates the sender of a digest and reports whether the digest is newer than the last
 // one of that node.
 func (msh *Mesh) acceptDigest(dig *wire.Digest) bool {
--- a/internal/router/mesh/fleet_test.go
+++ b/internal/router/mesh/fleet_test.go
@@ -41,6 +41,7 @@
 func (countingLoad) AddLocal(*wire.Digest)          {}
 func (countingLoad) SetPeer(*wire.Digest)           {}
 func (countingLoad) AddStrikes([]*wire.CrashStrike) {}
+func (countingLoad) History() []*wire.CrashStrike   { return nil }
 func (lod countingLoad) RemovePeer(_ string)        { *lod.lost++ }
 
 // testFleet is a fleet that exchanges digests by the clock of a manual timer, without a network.
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -161,6 +161,7 @@
 func (emptyLoad) SetPeer(*wire.Digest)           {}
 func (emptyLoad) RemovePeer(string)              {}
 func (emptyLoad) AddStrikes([]*wire.CrashStrike) {}
+func (emptyLoad) History() []*wire.CrashStrike   { return nil }
 
 // TestInitialReadIsDeferredInLargeFleets guards against a large fleet that overloads the network
 // link of the store when all nodes start at once: only the first nodes of each failure domain may
@@ -315,3 +316,39 @@
 		})
 	}
 }
+
+// TestStartedNodeGetsHistory guards against a restarted node that no peer tells of the crashes of before, or all peers at once.
+func TestStartedNodeGetsHistory(t *testing.T) {
+	fle := newTestFleet(fleetSize)
+	fle.run(3 * time.Second)
+	self := fle.nodes[7].options.Self
+	digest := func(incarnation int64, sequence uint64) (senders int) {
+		dig := &wire.Digest{Node: self.Name, FailureDomain: self.FailureDomain, Address: self.Address, Incarnation: incarnation, Sequence: sequence}
+		for num, nod := range fle.nodes {
+			if num == 7 || !nod.acceptDigest(dig) {
+				continue
+			}
+			if _, due := nod.owesHistory(dig); due {
+				senders++
+			}
+		}
+		return senders
+	}
+	incarnation := fle.nodes[7].incarnation
+	cases := []struct {
+		name        string
+		incarnation int64
+		sequence    uint64
+		want        int
+	}{
+		{"running for long", incarnation, 1000, 0},
+		{"started again", incarnation + 1, 1, historySenders},
+		{"next digest", incarnation + 1, 2, 0},
+		{"heard late", incarnation + 2, 1000, 0},
+	}
+	for _, cas := range cases {
+		if got := digest(cas.incarnation, cas.sequence); got != cas.want {
+			t.Errorf("%s: %d nodes send the history, want %d", cas.name, got, cas.want)
+		}
+	}
+}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -60,6 +60,11 @@
 	// strikeRepeat is how long the digests to nodes of the own region repeat a crash, so that a lost digest does not lose
 	// it. It is below the time in which package guard counts repeated reports of a crash as one.
 	strikeRepeat = 400 * time.Millisecond
+	// historySenders is how many nodes send a node that has started the crashes of before.
+	historySenders = 6
+	// maxHistorySequence is the number of the last digest of a node by which others find that it has started. A digest to other
+	// regions is one of ten, and some are lost.
+	maxHistorySequence = 3 * crossRegionEvery
 	// maxDigestBytes bounds a digest, which is sent as one datagram.
 	maxDigestBytes = 60 << 10
 )
@@ -73,6 +78,8 @@
 	SetPeer(dig *wire.Digest)
 	// AddStrikes applies crashes that a peer reports outside of its digests.
 	AddStrikes(sks []*wire.CrashStrike)
+	// History returns the crashes that a node which has started needs to know.
+	History() (sks []*wire.CrashStrike)
 	// RemovePeer removes the load of a peer that is no longer live.
 	RemovePeer(name string)
 }
@@ -144,6 +151,8 @@
 	recordVersion int64
 	// watchesStore is set while the peer watches the store itself and is not stopping.
 	watchesStore bool
+	// historySent is the incarnation of the peer for which this node has decided whether to send the crashes of before.
+	historySent int64
 	// copyVersions holds the version of the newest change in each copy of the peer, by kind.
 	copyVersions map[string]int64
 }
--- a/internal/router/mesh/mesh_test.go
+++ b/internal/router/mesh/mesh_test.go
@@ -42,6 +42,7 @@
 }
 
 func (fakeLoad) AddStrikes([]*wire.CrashStrike) {}
+func (fakeLoad) History() []*wire.CrashStrike   { return nil }
 
 func (lod fakeLoad) RemovePeer(name string) { lod.removed <- name }
 
