Test answers that end with their connection

The cases pass on the code as it is. A stream that is reset right after an event is left out: whether the event is read before the reset is up to the kernel.

--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -115,10 +115,19 @@
 		aborted   bool
 		attempts  int
 	}{
-		"complete":                             {router.Route{}, []string{whole}, 200, "ok", false, 1},
-		"upstream error":                       {router.Route{}, []string{failed}, 500, "no", false, 1},
-		"error, idempotent call":               {router.Route{Repeat: router.Idempotent, Attempts: 2}, []string{failed, whole}, 200, "ok", false, 2},
-		"two errors, idempotent call":          {router.Route{Repeat: router.Idempotent, Attempts: 2}, []string{failed, failed}, 500, "no", false, 2},
+		"complete":                                     {router.Route{}, []string{whole}, 200, "ok", false, 1},
+		"upstream error":                               {router.Route{}, []string{failed}, 500, "no", false, 1},
+		"error, idempotent call":                       {router.Route{Repeat: router.Idempotent, Attempts: 2}, []string{failed, whole}, 200, "ok", false, 2},
+		"two errors, idempotent call":                  {router.Route{Repeat: router.Idempotent, Attempts: 2}, []string{failed, failed}, 500, "no", false, 2},
+		"stream that ends with its connection":         {router.Route{Stream: true}, []string{head + "\r\nid: 3\nc\n\n" + fakes.ThenClose}, 200, "id: 3\nc\n\n", false, 1},
+		"stream without a length ends inside an event": {router.Route{Stream: true}, []string{head + "\r\nid: 3\nc\n\nid: 4\nd\n" + fakes.ThenClose}, 200, "id: 3\nc\n\n", true, 1},
+		"stream that resumes ends inside an event": {
+			router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2},
+			[]string{head + "\r\nid: 2\nb\n\nid: 3\nc\n" + fakes.ThenClose, events + three + last},
+			200, "id: 2\nb\n\nid: 3\nc\n\n", false, 2,
+		},
+		"answer that ends with its connection": {router.Route{}, []string{head + "\r\nok" + fakes.ThenClose}, 200, "ok", false, 1},
+		"answer that is reset":                 {router.Route{}, []string{head + "\r\nok" + fakes.ThenReset}, 502, "", false, 1},
 		"error before a stream that resumes":   {router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2}, []string{failed, events + three + last}, 200, "id: 3\nc\n\n", false, 2},
 		"error before a stream that runs once": {router.Route{Stream: true, Attempts: 2}, []string{failed, events + three + last}, 500, "no", false, 1},
 		"full":                                 {router.Route{}, []string{full}, 503, "", false, 1},
