--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -39,8 +39,6 @@
 	// initialCheckInterval is the same before it has any records.
 	peerCheckInterval    = 100 * time.Millisecond
 	initialCheckInterval = 20 * time.Millisecond
-	// maxReaderSilence is how long after the last answer of the store a Follower still counts as watching it.
-	maxReaderSilence = watchWait + answerTimeout
 )
 
 // Update is a change of the copy.
@@ -181,58 +179,6 @@
 	return max(1, time.Since(fol.failingSince))
 }
 
-// Silence returns how long ago the store last answered a call of this Follower; zero if it never did.
-func (fol *Follower) Silence() time.Duration {
-	fol.mut.Lock()
-	defer fol.mut.Unlock()
-	return fol.silence()
-}
-
-func (fol *Follower) silence() time.Duration {
-	if fol.answeredAt.IsZero() {
-		return 0
-	}
-	return time.Since(fol.answeredAt)
-}
-
-// WatchesStore reports whether this Follower watches the store itself and the store answers.
-func (fol *Follower) WatchesStore() bool {
-	if fol.usesPeers() {
-		return false
-	}
-	fol.mut.Lock()
-	defer fol.mut.Unlock()
-	return fol.failingSince.IsZero() && !fol.answeredAt.IsZero() && fol.silence() <= maxReaderSilence
-}
-
-// Confirmed returns up to which time of the store's clock, in milliseconds, the copy is known to hold all changes, and how
-// long ago that was. It returns zero for both if nothing is known.
-func (fol *Follower) Confirmed() (storeMs int64, age time.Duration) {
-	fol.mut.Lock()
-	defer fol.mut.Unlock()
-	if fol.confirmedAt.IsZero() {
-		return 0, 0
-	}
-	return fol.confirmedMs, time.Since(fol.confirmedAt)
-}
-
-// IsCurrent reports whether the copy is known to have held all changes at some time within the given age.
-func (fol *Follower) IsCurrent(age time.Duration) bool {
-	fol.mut.Lock()
-	defer fol.mut.Unlock()
-	return !fol.confirmedAt.IsZero() && time.Since(fol.confirmedAt) <= age
-}
-
-// Confirm records that a peer whose newest change is lastChange held all changes up to a time of the store's clock, an age ago.
-// Peers pass on what others confirmed: as a time of the store's clock is newer only once, the age does not shrink on the way.
-func (fol *Follower) Confirm(lastChange, storeMs int64, age time.Duration) {
-	fol.mut.Lock()
-	defer fol.mut.Unlock()
-	if lastChange <= fol.lastChange && fol.version > 0 && storeMs > fol.confirmedMs {
-		fol.confirmedMs, fol.confirmedAt = storeMs, time.Now().Add(-age)
-	}
-}
-
 // ChangesSince returns the changes after a version. It returns a snapshot if the version is zero, or
 // not above that of a deletion that is no longer kept.
 func (fol *Follower) ChangesSince(after int64) (chs router.Changes) {
