Confirm a copy at once when peers did not

A node answered 503 to unknown keys and routes for most of a second, again and again, although the store answered it.

Cause: a node whose copies peers did not confirm for 2 s began to watch the store itself, and its call waited for changes for 1.25 s before the answer confirmed anything. That is the case while its readers are of an older release, which confirm nothing, and when a reader dies.

The first call of such a node now waits for 0.1 s.

--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -225,12 +225,16 @@
 // rate after changes as without.
 func (fol *Follower) fetch(ctx context.Context, pause time.Duration) (chs router.Changes, err error) {
 	fol.mut.Lock()
-	loaded, failing := fol.loaded, !fol.failingSince.IsZero()
+	loaded, failing, confirmed := fol.loaded, !fol.failingSince.IsZero(), time.Since(fol.confirmedAt) <= watchWait
 	cal := router.WatchCall{Kind: fol.options.Kind, After: fol.version, Wait: watchWait - pause, AnswerTimeout: answerTimeout}
 	fol.mut.Unlock()
 	if !loaded {
 		return fol.options.Source.Read(ctx, fol.options.Kind)
 	}
+	if !confirmed {
+		// Peers have not confirmed the copy for some time. The answer does, so it should come soon.
+		cal.Wait = outageWait
+	}
 	if failing {
 		cal.Wait, cal.AnswerTimeout = outageWait, outageAnswerTimeout
 	}
--- a/internal/router/mesh/current_test.go
+++ b/internal/router/mesh/current_test.go
@@ -26,6 +26,39 @@
 // applyLimit is how long after a change it must be in force on all nodes that reach the store.
 const applyLimit = 3 * time.Second
 
+// TestCopiesStayConfirmed guards against a node that refuses requests as if its configuration were out of date, again and again,
+// because it waits for changes before it confirms a copy that peers did not confirm.
+func TestCopiesStayConfirmed(t *testing.T) {
+	// staleAge is the age from which unknown keys and routes are answered with 503.
+	const size, troubled, staleAge = 6, 2, 2500 * time.Millisecond
+	cases := map[string]func(nod *domainNode){
+		"all reach the store":             func(*domainNode) {},
+		"readers are frozen":              func(nod *domainNode) { nod.frozen = true },
+		"readers are of an older release": func(nod *domainNode) { nod.outdated = true },
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				dom := newTestDomain(ctx, size)
+				time.Sleep(10 * time.Second)
+				for _, nod := range dom.nodes[:troubled] {
+					trouble(nod)
+				}
+				for range 300 {
+					time.Sleep(100 * time.Millisecond)
+					for num, nod := range dom.nodes[troubled:] {
+						if !nod.follower.IsCurrent(staleAge) {
+							t.Fatalf("the copy of node %d was not confirmed for %s", troubled+num, staleAge)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // domainStore is the store as one node reaches it: calls that are sent while it is silent are never answered.
 type domainStore struct {
 	*fakes.RecordStore
