--- a/internal/router/mesh/current_test.go
+++ b/internal/router/mesh/current_test.go
@@ -33,8 +33,8 @@
 	const size, troubled, staleAge = 6, 2, 2500 * time.Millisecond
 	cases := map[string]func(nod *domainNode){
 		"all reach the store":             func(*domainNode) {},
-		"readers are frozen":              func(nod *domainNode) { nod.frozen = true },
-		"readers are of an older release": func(nod *domainNode) { nod.outdated = true },
+		"readers are frozen":              func(nod *domainNode) { nod.frozen.Store(true) },
+		"readers are of an older release": func(nod *domainNode) { nod.outdated.Store(true) },
 	}
 	for name, trouble := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -90,7 +90,7 @@
 	// value is the applied value of the only record.
 	value atomic.Value
 	// frozen stops the digests of the node; outdated removes from them what older releases do not send.
-	frozen, outdated bool
+	frozen, outdated atomic.Bool
 }
 
 // testDomain is a failure domain whose nodes exchange digests and copies without a network, in fake time.
@@ -103,7 +103,7 @@
 // RoundTrip calls a node's handler of copies.
 func (dom *testDomain) RoundTrip(req *http.Request) (rsp *http.Response, err error) {
 	for _, nod := range dom.nodes {
-		if nod.options.Self.Address == req.URL.Host && !nod.frozen {
+		if nod.options.Self.Address == req.URL.Host && !nod.frozen.Load() {
 			rec := httptest.NewRecorder()
 			req.Header.Set("Accept-Encoding", "gzip")
 			nod.Handler().ServeHTTP(rec, req)
@@ -164,11 +164,11 @@
 		}
 		nod.addCopies(dig)
 		nod.prepareDigest(dig)
-		if nod.outdated {
+		if nod.outdated.Load() {
 			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs, dig.Reads = 0, 0, true
 		}
 		for _, oth := range dom.nodes {
-			if oth != nod && !nod.frozen && !oth.frozen && oth.acceptDigest(dig) {
+			if oth != nod && !nod.frozen.Load() && !oth.frozen.Load() && oth.acceptDigest(dig) {
 				oth.fetchNewerCopies(ctx, dig)
 			}
 		}
@@ -184,8 +184,8 @@
 	cases := map[string]func(nod *domainNode){
 		"all reach the store":                 func(*domainNode) {},
 		"readers get no answers":              func(nod *domainNode) { nod.store.silent.Store(true) },
-		"readers are frozen":                  func(nod *domainNode) { nod.frozen = true; nod.store.silent.Store(true) },
-		"readers of an older release are old": func(nod *domainNode) { nod.outdated = true; nod.store.silent.Store(true) },
+		"readers are frozen":                  func(nod *domainNode) { nod.frozen.Store(true); nod.store.silent.Store(true) },
+		"readers of an older release are old": func(nod *domainNode) { nod.outdated.Store(true); nod.store.silent.Store(true) },
 	}
 	for name, trouble := range cases {
 		t.Run(name, func(t *testing.T) {
