Clear the parts of a prompt only by successful answers

A request with a deadly part could clear it when an upstream declined the request, with a 400 for instance, before it began to process the prompt.

Any answer below 500 counted; now only 2xx does. TestPartThatCrashesUpstreamsIsRefused has such an answer after each crash: with the rule before, the two deadly cases fail.

--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -73,7 +73,7 @@
 	act.status = rsp.StatusCode
 	now := act.sender.options.Timers.Now()
 	act.firstEvent = now.Sub(act.job.Call.Arrived)
-	if rsp.StatusCode < http.StatusInternalServerError {
+	if rsp.StatusCode < http.StatusMultipleChoices {
 		act.begunAt = now
 	}
 	act.writer.WriteHeader(rsp.StatusCode)
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -34,6 +34,7 @@
 	full  = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	// unfinished is full with a body of which only a part arrives.
 	unfinished = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhalf" + fakes.ThenHang
+	declined   = "HTTP/1.1 400 Bad\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nno"
 	failed     = "HTTP/1.1 500 Error\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nno"
 	unproven   = "HTTP/1.1 503 Full\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 0\r\n\r\n"
 	foreign    = "HTTP/1.1 200 OK\r\nStand-Id: other\r\nStand-Signed: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -342,6 +343,8 @@
 		if rec, _, _ := serveCall(t, grd, router.Route{}, call(common, sound), fakes.NewScriptedServer(t, whole)); rec.Code != http.StatusOK {
 			t.Fatalf("sound request after crash %d: status %d", num+1, rec.Code)
 		}
+		// An upstream that declines a request does not show that its parts are sound.
+		serveCall(t, grd, router.Route{}, call(common, deadly), fakes.NewScriptedServer(t, declined))
 	}
 	cases := map[string]struct {
 		parts  []uint64
