Order explained lines of the same time by node

explain printed the state of nodes in another order from run to run when lines of several nodes had the same time: the newest lines are kept in a map, and they were sorted by time alone. Lines of the same time are now ordered by node, and those of one node as they were read.

TestExplainOrdersLinesOfTheSameTime failed before.

--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -28,6 +29,8 @@
 	upstream string
 	// text is the whole line in JSON.
 	text string
+	// position is the number of lines that were read before this one.
+	position int
 }
 
 // Explain writes the lines of a request, marked "decision", and before them the state of the nodes that logged these lines,
@@ -84,9 +87,12 @@
 		ends[lin.node] = lin.time
 	}
 	newest := make(map[string]line)
+	position := 0
 	for _, log := range logs {
 		err := log.each(func(txt []byte) {
 			lin, ok := parseLine(txt)
+			lin.position = position
+			position++
 			if end, own := ends[lin.node]; !ok || !own || lin.request != "" || lin.time.After(end) {
 				return
 			}
@@ -130,8 +136,11 @@
 	}, true
 }
 
+// sortByTime sorts lines by time, those of the same time by node, and those of the same node in the order of reading.
 func sortByTime(lines []line) {
-	slices.SortStableFunc(lines, func(one, two line) int { return one.time.Compare(two.time) })
+	slices.SortStableFunc(lines, func(one, two line) int {
+		return cmp.Or(one.time.Compare(two.time), cmp.Compare(one.node, two.node), cmp.Compare(one.position, two.position))
+	})
 }
 
 // stateKey returns the same key for lines that report successive values of the same part of the
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -65,6 +65,37 @@
 	}
 }
 
+// TestExplainOrdersLinesOfTheSameTime guards against an order of lines that differs from run to run when several have the same
+// time: they are ordered by node, and those of one node as they were logged.
+func TestExplainOrdersLinesOfTheSameTime(t *testing.T) {
+	var one, two, want string
+	for num := range 8 {
+		one += logLine(1, "a", fmt.Sprintf(`"Message":"state %d"`, 7-num))
+		two += logLine(1, "b", fmt.Sprintf(`"Message":"state %d"`, num))
+	}
+	for _, lin := range strings.SplitAfter(strings.TrimSuffix(one+two, "\n"), "\n") {
+		want += "before   " + strings.TrimSuffix(lin, "\n") + "\n"
+	}
+	done := logLine(1, "a", `"Message":"request done","Request":"r1"`) + logLine(1, "b", `"Message":"request done","Request":"r1"`)
+	for _, lin := range strings.SplitAfter(strings.TrimSuffix(done, "\n"), "\n") {
+		want += "decision " + strings.TrimSuffix(lin, "\n") + "\n"
+	}
+	open := func(txt string) func() (io.ReadCloser, error) {
+		return func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(txt)), nil }
+	}
+	last := strings.SplitAfter(done, "\n")
+	logs := []trace.Log{{Name: "two", Open: open(two + last[1])}, {Name: "one", Open: open(one + last[0])}}
+	for range 20 {
+		var out strings.Builder
+		if err := trace.Explain(&out, "r1", logs...); err != nil {
+			t.Fatal(err)
+		}
+		if out.String() != want {
+			t.Fatalf("got\n%swant\n%s", out.String(), want)
+		}
+	}
+}
+
 // repeated is a log of many lines that is generated while it is read.
 type repeated struct {
 	line string
