--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -103,7 +103,7 @@
 		Log:    opt.Log,
 		OnRemove: func(ins router.Instance) {
 			balancer.Remove(ins)
-			pools.Remove(place.InstanceKey(ins))
+			pools.Remove(ins.Key())
 		},
 	})
 	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, UsePeers: nod.manifestsFromPeers})
--- a/internal/router/edge/peers_test.go
+++ b/internal/router/edge/peers_test.go
@@ -52,7 +52,7 @@
 	dig := &wire.Digest{Node: node}
 	for _, ins := range fix.instances {
 		one := proto.CloneOf(lod)
-		one.Instance = xxhash.Sum64String(place.InstanceKey(ins))
+		one.Instance = xxhash.Sum64String(ins.Key())
 		dig.Loads = append(dig.Loads, one)
 	}
 	return dig
@@ -77,7 +77,7 @@
 			fix.RemovePeer("peer")
 			for _, busy := range fix.instances {
 				dig := &wire.Digest{Node: "other", Loads: []*wire.InstanceLoad{{
-					Instance: xxhash.Sum64String(place.InstanceKey(busy)), Running: 50, Unread: []uint32{1e6},
+					Instance: xxhash.Sum64String(busy.Key()), Running: 50, Unread: []uint32{1e6},
 				}}}
 				fix.SetPeer(dig)
 				if got := fix.choose(t); got == busy.ID {
--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"strconv"
 	"sync"
 	"time"
 
@@ -10,12 +9,6 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
 
-// InstanceKey returns the key of an incarnation, a run of an upstream's process: a restart keeps the instance's ID and
-// changes the key.
-func InstanceKey(ins router.Instance) string {
-	return ins.ID + "/" + strconv.FormatInt(ins.Born, 10)
-}
-
 // Options configure a Balancer.
 type Options struct {
 	Timers router.Timers
@@ -57,7 +50,7 @@
 func (bal *Balancer) Remove(ins router.Instance) {
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
-	key := InstanceKey(ins)
+	key := ins.Key()
 	id := xxhash.Sum64String(key)
 	delete(bal.loads, key)
 	delete(bal.byID, id)
@@ -69,7 +62,7 @@
 
 // loadOf returns the load of an incarnation and creates it if necessary.
 func (bal *Balancer) loadOf(ins router.Instance) *load {
-	key := InstanceKey(ins)
+	key := ins.Key()
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
 	lod := bal.loads[key]
--- a/internal/router/send/crash.go
+++ b/internal/router/send/crash.go
@@ -14,7 +14,6 @@
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
-	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 )
 
 // MaxCrashes is the number of crashes after which a request is quarantined. Unrelated crashes occasionally hit
@@ -53,7 +52,7 @@
 	if snd.probe(cal.ID, ins) {
 		return
 	}
-	snd.options.OnCrash(guard.Crash{Digest: digest, Upstream: place.InstanceKey(ins), At: snd.options.Timers.Now(), Parts: suspects})
+	snd.options.OnCrash(guard.Crash{Digest: digest, Upstream: ins.Key(), At: snd.options.Timers.Now(), Parts: suspects})
 	snd.options.Log.Info("upstream crashed with request", "Request", cal.ID, "Digest", digest, "Upstream", ins.ID, "Suspects", partNames(suspects))
 }
 
@@ -102,7 +101,7 @@
 func (snd *Sender) probe(request string, ins router.Instance) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	con, err := snd.options.Pools.Pool(place.InstanceKey(ins), ins.Address).Dial(ctx)
+	con, err := snd.options.Pools.Pool(ins.Key(), ins.Address).Dial(ctx)
 	if err == nil {
 		con.Close()
 		return true
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -229,7 +229,7 @@
 func (act *activeCall) attempt(ctx context.Context) (sta attemptState) {
 	opt := act.sender.options
 	ins, rsv, ok := opt.Balancer.Choose(act.placementRequest(), opt.Roster.Available(act.job.Service), func(ins router.Instance) bool {
-		return act.excluded[place.InstanceKey(ins)]
+		return act.excluded[ins.Key()]
 	})
 	if !ok {
 		act.reason = reasonNoUpstream
@@ -240,7 +240,7 @@
 	con, err := act.connect(ctx, ins)
 	if err != nil {
 		act.connectFailures++
-		act.excluded[place.InstanceKey(ins)] = true
+		act.excluded[ins.Key()] = true
 		act.logFailure("connect failed", ins, err)
 		if ctx.Err() == nil {
 			res = place.Unreachable
@@ -263,7 +263,7 @@
 		go act.sender.probe(act.job.Call.ID, ins)
 	}
 	if sta != completed {
-		act.excluded[place.InstanceKey(ins)] = true
+		act.excluded[ins.Key()] = true
 	}
 	if sta != completed && sta != rejected {
 		act.mayHaveRun = true
@@ -302,7 +302,7 @@
 	if act.job.Route.Repeat == router.AtMostOnce {
 		idle = atMostOnceMaxIdle
 	}
-	return act.sender.options.Pools.Pool(place.InstanceKey(ins), ins.Address).Get(ctx, idle)
+	return act.sender.options.Pools.Pool(ins.Key(), ins.Address).Get(ctx, idle)
 }
 
 // exchange sends the call on a connection and relays the response.
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -152,6 +153,11 @@
 	return ins.ID == oth.ID && ins.Born == oth.Born && ins.Address == oth.Address && ins.Service == oth.Service
 }
 
+// Key returns the key of the incarnation: a restart keeps the instance's ID and changes the key.
+func (ins Instance) Key() string {
+	return ins.ID + "/" + strconv.FormatInt(ins.Born, 10)
+}
+
 // EngineRanks is the number of priorities that engines have for waiting prompts. An engine processes
 // (prefills) prompts in the order of their ranks, 0 first.
 const EngineRanks = 10
