Log the rate limits that upstreams state

Nothing read the header by which an upstream states the requests per second that it accepts, so that the logs could not tell whether one node exceeds a limit, all nodes only together, or retries do. Package terms keeps what an upstream states about itself and logs the limit with the requests that this node has sent to it since the last line.

Calls are placed as before.

--- a/internal/fakes/dialect.go
+++ b/internal/fakes/dialect.go
@@ -22,6 +22,8 @@
 	HeaderNotRun = "Stand-Not-Run"
 	// HeaderSigned marks an answer that may be forwarded to the caller.
 	HeaderSigned = "Stand-Signed"
+	// HeaderRateLimit carries the requests per second that an upstream accepts from all nodes together.
+	HeaderRateLimit = "Stand-Rate-Limit"
 	// HeaderKey carries the caller's API key.
 	HeaderKey = "Stand-Key"
 )
@@ -58,11 +60,13 @@
 
 // CheckAnswer checks the header of an upstream's answer.
 func (Dialect) CheckAnswer(cal *router.Call, rsp *http.Response) (chk router.AnswerCheck) {
-	return router.AnswerCheck{
+	chk = router.AnswerCheck{
 		Mismatched: rsp.Header.Get(HeaderID) != cal.ID,
 		NotRun:     rsp.Header.Get(HeaderNotRun) != "",
 		Relayable:  rsp.Header.Get(HeaderSigned) != "",
 	}
+	chk.Terms.RateLimit, _ = strconv.ParseFloat(rsp.Header.Get(HeaderRateLimit), 64)
+	return chk
 }
 
 // CopyHeader copies to dst the header fields of an upstream's answer that the caller may receive.
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -27,6 +27,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
 )
 
 const (
@@ -97,6 +98,7 @@
 	balancer := place.New(place.Options{Timers: opt.Timers, FailureDomain: set.FailureDomain, Regions: regions})
 	nod.balancer = balancer
 	pools := conns.NewPools()
+	trs := terms.New(opt.Timers, opt.Log)
 	nod.roster = roster.New(roster.Options{
 		Timers: opt.Timers,
 		Codec:  opt.Codec,
@@ -104,6 +106,7 @@
 		OnRemove: func(ins router.Instance) {
 			balancer.Remove(ins)
 			pools.Remove(ins.Key())
+			trs.Remove(ins)
 		},
 	})
 	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, UsePeers: nod.manifestsFromPeers})
@@ -141,6 +144,7 @@
 			Pools:      pools,
 			Budget:     nod.budget,
 			Guard:      grd,
+			Terms:      trs,
 			OnCrash:    pes.recordCrash,
 			OnAnswer:   pes.recordAnswered,
 			Log:        opt.Log,
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
 )
 
 const (
@@ -76,6 +77,7 @@
 	Pools    *conns.Pools
 	Budget   *budget.Registry
 	Guard    *guard.Guard
+	Terms    *terms.Registry
 	Log      *slog.Logger
 	// OnCrash is called when an upstream crashed while it ran a request.
 	OnCrash func(crs guard.Crash)
@@ -316,12 +318,17 @@
 		TimeLimit:   max(time.Millisecond, act.deadline().Sub(opt.Timers.Now())),
 		LastEventID: act.lastEventID,
 	})
+	sent := opt.Timers.Now()
+	opt.Terms.CountSend(ins)
 	rsp, err := con.Send(ctx, conns.Request{Method: cal.Method, Host: cal.Host, Target: cal.Target, Header: hdr, Body: cal.Body})
 	if err != nil {
 		con.Close()
 		return act.failAttempt(ctx, "no answer", ins, err)
 	}
 	chk := opt.Dialect.CheckAnswer(cal, rsp)
+	if !chk.Mismatched {
+		opt.Terms.Observe(ins, chk.Terms, sent)
+	}
 	switch {
 	case chk.Mismatched:
 		con.Close()
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -23,6 +23,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 )
 
@@ -86,6 +87,7 @@
 		Budget:   budget.NewRegistry(budget.DefaultMaxTokens),
 		Log:      log,
 		Guard:    grd,
+		Terms:    terms.New(timer.Real{}, log),
 		OnCrash:  func(crs guard.Crash) { grd.Add(crs) },
 		OnAnswer: func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
 	})
--- /dev/null
+++ b/internal/router/terms/doc.go
@@ -0,0 +1,6 @@
+// Package terms records what upstreams state about themselves in the headers of their answers.
+//
+// An upstream in trouble states a rate limit: the requests per second that it accepts from all nodes together. The limit holds
+// until the upstream answers a later request without stating one. A Registry holds the statements by incarnation, and logs
+// how many requests this node sends to each upstream that states a limit.
+package terms
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -183,6 +183,13 @@
 	LastEventID string
 }
 
+// UpstreamTerms is what an upstream states about itself in an answer; the zero value states nothing.
+type UpstreamTerms struct {
+	// RateLimit is the requests per second that the upstream accepts from all nodes together; zero means that it states no
+	// limit.
+	RateLimit float64
+}
+
 // AnswerCheck states whether an upstream's answer can be used for a call.
 type AnswerCheck struct {
 	// Mismatched is set when the answer belongs to another request.
@@ -191,6 +198,8 @@
 	NotRun bool
 	// Relayable is set when the answer may be forwarded to the caller.
 	Relayable bool
+	// Terms is what the upstream states about itself.
+	Terms UpstreamTerms
 }
 
 // Dialect adapts calls and answers to the header conventions of a deployment.
