Share the rate limits of upstreams between all nodes

Cause: no part of the router read the limit. One node alone sent 5 to 9 requests in a second at a limit of 3.4. The class of fault is a limit of a shared resource that no node counts, and that none can count alone.

Package permit divides a limit: every upstream with a limit has an owner among the live nodes, which spaces permits at the rate of the limit, and each request needs one, retries too. The owner uses only the part of the limit that belongs to the nodes it hears, so that both sides of a partition together keep it, and nodes of the release before are left their part. Calls go to upstreams with room first, wait for a permit where those are crowded, and are otherwise refused with the time at which a permit will be free. Limits are passed on in digests.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -24,6 +24,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/mesh"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/meter"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/permit"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
@@ -99,6 +100,7 @@
 	nod.balancer = balancer
 	pools := conns.NewPools()
 	trs := terms.New(opt.Timers, opt.Log)
+	pms := permit.New(opt.Timers, opt.Log)
 	nod.roster = roster.New(roster.Options{
 		Timers: opt.Timers,
 		Codec:  opt.Codec,
@@ -107,13 +109,14 @@
 			balancer.Remove(ins)
 			pools.Remove(ins.Key())
 			trs.Remove(ins)
+			pms.Remove(ins)
 		},
 	})
 	nod.manifests = follow.New(follow.Options{Source: opt.Source, Kind: router.Manifests, Log: opt.Log, Apply: nod.applyManifest, UsePeers: nod.manifestsFromPeers})
 	nod.instances = follow.New(follow.Options{Source: opt.Source, Kind: router.Instances, Log: opt.Log, Apply: nod.roster.Apply, UsePeers: nod.instancesFromPeers})
 	grd, stopGuard := guard.New(opt.Timers, send.MaxCrashes)
 	nod.closers = append(nod.closers, stopGuard)
-	pes := &peerState{balancer: balancer, guard: grd, timers: opt.Timers}
+	pes := &peerState{balancer: balancer, guard: grd, terms: trs, timers: opt.Timers}
 	nod.mesh = mesh.New(mesh.Options{
 		Self:    router.Member{Name: set.Name, Address: set.Platform.Mesh, FailureDomain: set.FailureDomain},
 		Timers:  opt.Timers,
@@ -121,9 +124,11 @@
 		Source:  opt.Source,
 		Codec:   opt.Codec,
 		Load:    pes,
+		Permits: pms,
 		Copies:  map[router.RecordKind]*follow.Follower{router.Manifests: nod.manifests, router.Instances: nod.instances},
 		Regions: regions,
 	})
+	pms.Join(nod.mesh)
 	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
 	met := meter.New(set.Name, opt.Log)
 	nod.meter = met
@@ -145,6 +150,7 @@
 			Budget:     nod.budget,
 			Guard:      grd,
 			Terms:      trs,
+			Permits:    pms,
 			OnCrash:    pes.recordCrash,
 			OnAnswer:   pes.recordAnswered,
 			Log:        opt.Log,
--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -9,13 +9,15 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
-// peerState exchanges load, crashes and prefix placements with the peers. It implements mesh.LoadState.
+// peerState exchanges load, crashes, prefix placements and the terms of upstreams with the peers. It implements mesh.LoadState.
 type peerState struct {
 	balancer *place.Balancer
 	guard    *guard.Guard
+	terms    *terms.Registry
 	timers   router.Timers
 
 	mut     sync.Mutex
@@ -85,6 +87,9 @@
 		}
 		dig.Demands = append(dig.Demands, msg)
 	}
+	for _, sta := range pes.terms.Recent() {
+		dig.Terms = append(dig.Terms, &wire.StatedTerms{Instance: sta.Instance, RateLimit: sta.RateLimit, AgeMs: uint32(sta.Age.Milliseconds())})
+	}
 	dig.Strikes = append(dig.Strikes, pes.drainStrikes()...)
 	for _, plc := range pes.balancer.DrainPlacements() {
 		dig.Placements = append(dig.Placements, &wire.Placement{Prefix: plc.Prefix, Instance: plc.Instance, Read: plc.Cached})
@@ -111,6 +116,7 @@
 	}
 	pes.balancer.SetPeerLoads(dig.GetNode(), infs)
 	pes.balancer.SetPeerDemand(dig.GetNode(), decodeDemands(dig.GetDemands()))
+	pes.addTerms(dig.GetTerms())
 	pes.AddStrikes(dig.GetStrikes())
 	pls := make([]place.Placement, 0, len(dig.GetPlacements()))
 	for _, plc := range dig.GetPlacements() {
@@ -119,6 +125,17 @@
 	pes.balancer.AddPeerPlacements(pls)
 }
 
+// addTerms records what upstreams stated to a peer.
+func (pes *peerState) addTerms(msgs []*wire.StatedTerms) {
+	sts := make([]terms.Stated, 0, len(msgs))
+	for _, msg := range msgs {
+		if lim := msg.GetRateLimit(); lim >= 0 && !math.IsInf(lim, 0) {
+			sts = append(sts, terms.Stated{Instance: msg.GetInstance(), RateLimit: lim, Age: time.Duration(msg.GetAgeMs()) * time.Millisecond})
+		}
+	}
+	pes.terms.AddPeer(sts)
+}
+
 // History returns the crashes that a node which has started needs to know.
 func (pes *peerState) History() (sks []*wire.CrashStrike) {
 	now := pes.timers.Now()
--- a/internal/router/edge/peers_test.go
+++ b/internal/router/edge/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
@@ -28,7 +30,7 @@
 	tms := timer.NewManual(time.Unix(1000, 0))
 	grd, stop := guard.New(tms, guard.DefaultMaxCrashes)
 	t.Cleanup(stop)
-	fix.peerState = &peerState{balancer: place.New(place.Options{Timers: tms}), guard: grd, timers: tms}
+	fix.peerState = &peerState{balancer: place.New(place.Options{Timers: tms}), guard: grd, terms: terms.New(tms, slog.New(slog.DiscardHandler)), timers: tms}
 	for num := range 4 {
 		fix.instances = append(fix.instances, router.Instance{ID: fmt.Sprint(num), Service: "engines", Address: "10.0.0.1:80"})
 	}
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -117,6 +117,7 @@
 	msh.sequence++
 	dig.Sequence = msh.sequence
 	dig.Stopping = msh.stopping
+	dig.GrantsPermits = msh.options.Permits != nil
 	msh.addMentions(dig, now)
 	msh.updateTimeout()
 	for nam, per := range msh.peers {
@@ -151,7 +152,7 @@
 func (msh *Mesh) receiveDigests(ctx context.Context, soc *net.UDPConn) {
 	buf := make([]byte, maxDigestBytes)
 	for ctx.Err() == nil {
-		num, _, err := soc.ReadFromUDP(buf)
+		num, from, err := soc.ReadFromUDP(buf)
 		if err != nil {
 			if ctx.Err() == nil {
 				msh.options.Log.Warn("datagram not received", "Error", err.Error())
@@ -161,8 +162,7 @@
 		}
 		var dig wire.Digest
 		err = proto.Unmarshal(buf[:num], &dig)
-		if err == nil && dig.GetNode() == "" && len(dig.GetStrikes()) > 0 {
-			msh.options.Load.AddStrikes(dig.GetStrikes())
+		if err == nil && dig.GetNode() == "" && msh.acceptMessage(soc, from, &dig) {
 			continue
 		}
 		if err != nil || dig.GetNode() == "" {
@@ -177,6 +177,22 @@
 	}
 }
 
+// acceptMessage handles a datagram that is no digest of a node; ok is false if it holds no known message.
+func (msh *Mesh) acceptMessage(soc *net.UDPConn, from *net.UDPAddr, dig *wire.Digest) (ok bool) {
+	switch {
+	case len(dig.GetStrikes()) > 0:
+		msh.options.Load.AddStrikes(dig.GetStrikes())
+	case dig.GetPermitRequest() != nil && msh.options.Permits != nil:
+		ans := msh.options.Permits.Grant(dig.GetPermitRequest())
+		msh.sendTo(soc, []*net.UDPAddr{from}, &wire.Digest{PermitAnswer: ans})
+	case dig.GetPermitAnswer() != nil && msh.options.Permits != nil:
+		msh.options.Permits.Deliver(dig.GetPermitAnswer())
+	default:
+		return false
+	}
+	return true
+}
+
 // sendHistory sends the crashes of before to the sender of a digest if it has started a short time ago and this node is one of those that
 // do so. Otherwise requests that crash upstreams would run on each node again that was restarted.
 func (msh *Mesh) sendHistory(soc *net.UDPConn, dig *wire.Digest) {
@@ -236,6 +252,7 @@
 	per.address, per.incarnation, per.sequence = adr, dig.GetIncarnation(), dig.GetSequence()
 	per.lastDigest, per.live, per.copyVersions = msh.options.Timers.Now(), true, dig.GetVersions()
 	per.watchesStore = dig.GetReads() && !dig.GetStopping()
+	per.grantsPermits = dig.GetGrantsPermits() && !dig.GetStopping()
 	now := per.lastDigest
 	found := msh.acceptMentions(dig, now)
 	msh.mut.Unlock()
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +66,9 @@
 	// maxHistorySequence is the number of the last digest of a node by which others find that it has started. A digest to other
 	// regions is one of ten, and some are lost.
 	maxHistorySequence = 3 * crossRegionEvery
+	// assumedNodes is the assumed size of the fleet while the member list is unknown. It is above the size of the largest
+	// fleet, so that nodes which know little use little of a limit.
+	assumedNodes = 1000
 	// maxDigestBytes bounds a digest, which is sent as one datagram.
 	maxDigestBytes = 60 << 10
 )
@@ -84,6 +88,14 @@
 	RemovePeer(name string)
 }
 
+// Permits answers requests for permits to send to upstreams with a rate limit; see package permit.
+type Permits interface {
+	// Grant answers the request of a peer.
+	Grant(req *wire.PermitRequest) (ans *wire.PermitAnswer)
+	// Deliver passes on the answer to a request of this node.
+	Deliver(ans *wire.PermitAnswer)
+}
+
 // Options configure a Mesh.
 type Options struct {
 	Self   router.Member
@@ -92,6 +104,8 @@
 	Source router.RecordStore
 	Codec  router.Codec
 	Load   LoadState
+	// Permits answers requests for permits; nil means that this node grants none.
+	Permits Permits
 	// Copies are this node's copies of the platform's records, which are compared with those of
 	// peers.
 	Copies map[router.RecordKind]*follow.Follower
@@ -110,6 +124,9 @@
 	started     time.Time
 	copiers     []*copier
 
+	// socket receives and sends datagrams; nil before Run.
+	socket atomic.Pointer[net.UDPConn]
+
 	mut   sync.Mutex
 	peers map[string]*peer
 	// sequence is the number of the last digest sent.
@@ -151,6 +168,10 @@
 	recordVersion int64
 	// watchesStore is set while the peer watches the store itself and is not stopping.
 	watchesStore bool
+	// grantsPermits is set while the peer answers requests for permits.
+	grantsPermits bool
+	// nameHash is the hash of the peer's name.
+	nameHash uint64
 	// historySent is the incarnation of the peer for which this node has decided whether to send the crashes of before.
 	historySent int64
 	// copyVersions holds the version of the newest change in each copy of the peer, by kind.
@@ -218,6 +239,7 @@
 	if err != nil {
 		return err
 	}
+	msh.socket.Store(soc)
 	stop := context.AfterFunc(ctx, func() { _ = soc.Close() })
 	defer stop()
 	go msh.maintainMembership(ctx)
@@ -231,7 +253,7 @@
 
 // addPeer adds a peer without any state; the caller holds the lock.
 func (msh *Mesh) addPeer(name string) (per *peer) {
-	per = &peer{}
+	per = &peer{nameHash: xxhash.Sum64String(name)}
 	msh.peers[name] = per
 	msh.byMention[mentionHash(name)] = per
 	return per
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -6,9 +6,19 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
 
-// Choose selects an instance for a call and reserves capacity for it there; ok is false if avoid excludes all instances.
-// The list holds all instances of the service and must not be modified afterwards: the list's identity is the key of a cached partition.
+// Choose selects an instance for a call that is sent to it at once, see Propose.
 func (bal *Balancer) Choose(req Request, list []router.Instance, avoid func(ins router.Instance) bool) (ins router.Instance, rsv *Reservation, ok bool) {
+	ins, rsv, ok = bal.Propose(req, list, avoid)
+	if ok {
+		rsv.Start()
+	}
+	return ins, rsv, ok
+}
+
+// Propose selects an instance for a call and reserves capacity for it there; ok is false if avoid excludes all instances. When
+// the call is sent to it, the caller calls Start of the reservation before.
+// The list holds all instances of the service and must not be modified afterwards: the list's identity is the key of a cached partition.
+func (bal *Balancer) Propose(req Request, list []router.Instance, avoid func(ins router.Instance) bool) (ins router.Instance, rsv *Reservation, ok bool) {
 	if len(list) == 0 {
 		return router.Instance{}, nil, false
 	}
@@ -28,10 +38,13 @@
 		return router.Instance{}, nil, false
 	}
 	lod := opt.load
-	svc.begin(cls, req, opt.prefillTokens, now())
-	bal.prefixes.recordLocal(req.Prefixes, lod.id, false, now())
 	rsv = lod.reserve(opt.prefillTokens, opt.rank, req, now)
-	rsv.Source, rsv.service, rsv.class = opt.source, svc, cls
+	rsv.Source, rsv.Late = opt.source, opt.late
+	rsv.onStart = func() {
+		svc.begin(cls, req, opt.prefillTokens, now())
+		bal.prefixes.recordLocal(req.Prefixes, lod.id, false, now())
+		rsv.service, rsv.class = svc, cls
+	}
 	rsv.onCached = func() { bal.prefixes.recordLocal(req.Prefixes, lod.id, true, now()) }
 	return opt.Instance, rsv, true
 }
@@ -46,6 +59,8 @@
 	source string
 	// rank is the call's rank in the engine's prefill queue.
 	rank int
+	// late is set if the call will miss its target by the estimate.
+	late bool
 	// cost is in expected SLO misses.
 	cost float64
 }
--- a/internal/router/place/cost.go
+++ b/internal/router/place/cost.go
@@ -78,8 +78,8 @@
 		opt.prefillTokens, opt.source = max(0, req.PromptTokens-pst.copyTokens), pst.source.Address
 		opt.cost = float64(pst.copyTokens-cached) * req.Engine.TokenBytes / copyBytes
 	}
-	cost, rnk := snp.waitingCost(req, opt.prefillTokens)
-	opt.rank = rnk
+	cost, rnk, late := snp.waitingCost(req, opt.prefillTokens)
+	opt.rank, opt.late = rnk, late
 	opt.cost += cost + positionCost*float64(min(can.position, maxPosition))
 	opt.cost += runningCost*float64(snp.Running) + failureCost*snp.failureRate
 	opt.cost += bal.distanceCost(can.Instance, domainCost, regionCost)
@@ -103,15 +103,15 @@
 	return interferenceCost * (1 + slowdownInterference*(snp.slowdown-1)) * snp.GapRisk * min(1, took/float64(interferenceTime.Milliseconds()))
 }
 
-// waitingCost returns the cost of the estimated time to the first event and the rank that the call gets.
-func (snp snapshot) waitingCost(req Request, prefillTokens int) (cost float64, rank int) {
+// waitingCost returns the cost of the estimated time to the first event, the rank that the call gets, and whether it will be late.
+func (snp snapshot) waitingCost(req Request, prefillTokens int) (cost float64, rank int, late bool) {
 	rank = req.Ranks.InTime
 	rel := snp.relativeWait(req, prefillTokens, rank)
-	if rel > lateThreshold {
+	if late = rel > lateThreshold; late {
 		rank = req.Ranks.Late
 		rel = snp.relativeWait(req, prefillTokens, rank)
 	}
-	return waitCost*rel + 1/(1+math.Exp(-missSteepness*(rel-missCentre))), rank
+	return waitCost*rel + 1/(1+math.Exp(-missSteepness*(rel-missCentre))), rank, late
 }
 
 // relativeWait returns the estimated time to the first event as a fraction of the target.
--- a/internal/router/place/reservation.go
+++ b/internal/router/place/reservation.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
 
 // Estimate holds the estimates on which the choice of an upstream was based.
@@ -15,6 +17,15 @@
 	Source string
 	// Slowdown is how many times longer than usual the engine's gaps between events were; at least 1.
 	Slowdown float64
+	// Running is how many calls were in flight at the upstream.
+	Running int
+	// Late is set if the call was expected to miss its target.
+	Late bool
+}
+
+// Crowded reports whether a call has to wait at an instance: all its slots are taken, or the call will miss its target.
+func (est Estimate) Crowded(ins router.Instance) bool {
+	return est.Late || ins.Slots > 0 && est.Running >= ins.Slots
 }
 
 // Reservation counts a call in the load of an upstream until Release is called. ObserveEvent must not be called
@@ -22,11 +33,13 @@
 type Reservation struct {
 	Estimate
 
+	// onStart is called when the call is sent; nil for plain calls.
+	onStart func()
 	// onCached is called at the first event, when the engine has prefilled the shared prefixes; nil for plain calls.
 	onCached func()
 	load     *load
 	now      func() time.Time
-	// service and class identify the demand that the call is part of; service is nil for plain calls.
+	// service and class identify the demand that the call is part of; service is nil for plain calls, and before Start.
 	service *service
 	class   class
 	// pending is how many tokens of the call the engine still has to prefill.
@@ -44,6 +57,13 @@
 	once        sync.Once
 }
 
+// Start records that the call is sent to the upstream.
+func (rsv *Reservation) Start() {
+	if rsv.onStart != nil {
+		rsv.onStart()
+	}
+}
+
 // PrefillDone reports the first event of the response, which shows that the prompt is prefilled, and updates the prefill
 // rate of the engine; further calls do nothing.
 func (rsv *Reservation) PrefillDone() {
--- /dev/null
+++ b/internal/router/send/choose.go
@@ -0,0 +1,154 @@
+package send
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
+)
+
+const (
+	// maxPermitRequests is the number of upstreams that are asked for a permit that is free at once, before the call goes to one
+	// without a rate limit or waits.
+	maxPermitRequests = 3
+	// shortPermitWait is how long a call waits for a permit while there may be another upstream with room.
+	shortPermitWait = 10 * time.Millisecond
+	// maxPermitWait bounds the wait for a permit when no other upstream is left; it is also at most permitTargetShare of the
+	// target of the route and permitDeadlineShare of the time left.
+	maxPermitWait       = 500 * time.Millisecond
+	permitTargetShare   = 0.5
+	permitDeadlineShare = 0.33
+	// waitingPermitRequests is the number of upstreams that are asked for a permit with a wait.
+	waitingPermitRequests = 2
+	// minRetryAfter is the shortest Retry-After of a call without a permit.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// reasonRateLimit is the reason when the upstreams that are left accept no more requests at present.
+const reasonRateLimit = "rate limits of the upstreams"
+
+// choose selects an upstream for the next attempt and reserves capacity there. For an upstream with a rate limit it gets a
+// permit. Upstreams with room go first; if none has any, the call waits for a permit for a short time.
+func (act *activeCall) choose(ctx context.Context) (ins router.Instance, rsv *place.Reservation, ok bool) {
+	list := act.sender.options.Roster.Available(act.job.Service)
+	if !act.sender.options.Terms.AnyLimited() {
+		return act.propose(list, func(router.Instance) bool { return false })
+	}
+	ins, rsv, ok = act.chooseAtOnce(ctx, list)
+	if ok && !rsv.Crowded(ins) {
+		return ins, rsv, true
+	}
+	reason := act.reason
+	alt, altRsv, altOK := act.chooseWaiting(ctx, list)
+	switch {
+	case altOK && ok:
+		rsv.Release(place.Inconclusive)
+		return alt, altRsv, true
+	case ok:
+		act.reason = reason
+		return ins, rsv, true
+	default:
+		return alt, altRsv, altOK
+	}
+}
+
+// chooseAtOnce selects the best upstream that has no rate limit, or for which a permit is free.
+func (act *activeCall) chooseAtOnce(ctx context.Context, list []router.Instance) (ins router.Instance, rsv *place.Reservation, ok bool) {
+	asked := 0
+	for {
+		ins, rsv, ok = act.propose(list, func(ins router.Instance) bool {
+			return act.isLimited(ins) && (asked >= maxPermitRequests || act.permitFreeIn(ins) > shortPermitWait)
+		})
+		if !ok || act.getPermit(ctx, ins, rsv, shortPermitWait) {
+			return ins, rsv, ok
+		}
+		asked++
+	}
+}
+
+// chooseWaiting selects the upstream whose next permit is free first, and waits for the permit.
+func (act *activeCall) chooseWaiting(ctx context.Context, list []router.Instance) (ins router.Instance, rsv *place.Reservation, ok bool) {
+	wait := act.permitWait()
+	for range waitingPermitRequests {
+		next, delay, fnd := act.nextFree(list)
+		if !fnd {
+			act.reason = reasonNoUpstream
+			return router.Instance{}, nil, false
+		}
+		if delay > wait {
+			break
+		}
+		ins, rsv, ok = act.propose(list, func(ins router.Instance) bool { return !ins.Same(next) })
+		if !ok {
+			return ins, rsv, false
+		}
+		if act.getPermit(ctx, ins, rsv, wait) {
+			return ins, rsv, true
+		}
+	}
+	act.reason = reasonRateLimit
+	if _, delay, fnd := act.nextFree(list); fnd {
+		// Callers that were refused together should not come back together.
+		act.retryAfter = max(delay, minRetryAfter) + rand.N(max(delay, minRetryAfter)/2)
+	}
+	return router.Instance{}, nil, false
+}
+
+// propose selects an upstream on which no attempt failed and that avoid does not exclude.
+func (act *activeCall) propose(list []router.Instance, avoid func(ins router.Instance) bool) (ins router.Instance, rsv *place.Reservation, ok bool) {
+	ins, rsv, ok = act.sender.options.Balancer.Propose(act.placementRequest(), list, func(ins router.Instance) bool {
+		return act.excluded[ins.Key()] || avoid(ins)
+	})
+	if !ok {
+		act.reason = reasonNoUpstream
+	}
+	return ins, rsv, ok
+}
+
+// nextFree returns the upstream with a rate limit whose next permit is free first, and how long that takes.
+func (act *activeCall) nextFree(list []router.Instance) (best router.Instance, delay time.Duration, fnd bool) {
+	for _, ins := range list {
+		if act.excluded[ins.Key()] || !act.isLimited(ins) {
+			continue
+		}
+		if one := act.permitFreeIn(ins); !fnd || one < delay {
+			best, delay, fnd = ins, one, true
+		}
+	}
+	return best, delay, fnd
+}
+
+// getPermit gets a permit for an upstream with a rate limit and waits until it is valid. Without one it releases the reservation.
+func (act *activeCall) getPermit(ctx context.Context, ins router.Instance, rsv *place.Reservation, wait time.Duration) bool {
+	limit := act.sender.options.Terms.RateLimit(ins)
+	if limit == 0 {
+		return true
+	}
+	ver := act.sender.options.Permits.Ask(ctx, ins, limit, wait)
+	if !ver.Granted {
+		rsv.Release(place.Inconclusive)
+		return false
+	}
+	ver.Wait(ctx)
+	return true
+}
+
+// permitWait returns how long the call waits for a permit when no upstream has room.
+func (act *activeCall) permitWait() time.Duration {
+	wait := maxPermitWait
+	if tgt := act.job.Route.Target; tgt > 0 {
+		wait = min(wait, time.Duration(permitTargetShare*float64(tgt)))
+	}
+	left := act.deadline().Sub(act.sender.options.Timers.Now())
+	return max(0, min(wait, time.Duration(permitDeadlineShare*float64(left))))
+}
+
+func (act *activeCall) isLimited(ins router.Instance) bool {
+	return act.sender.options.Terms.RateLimit(ins) > 0
+}
+
+func (act *activeCall) permitFreeIn(ins router.Instance) time.Duration {
+	return act.sender.options.Permits.FreeIn(ins)
+}
--- a/internal/router/send/finish.go
+++ b/internal/router/send/finish.go
@@ -42,6 +42,9 @@
 	}
 	ref := router.Refuse(http.StatusServiceUnavailable, router.CodeNoUpstream, "not run: %s", act.reason)
 	ref.RetryAfter = defaultRetryAfter
+	if act.retryAfter > 0 {
+		ref.RetryAfter = act.retryAfter
+	}
 	return act.refuse(ref)
 }
 
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/conns"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/permit"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
@@ -78,6 +79,7 @@
 	Budget   *budget.Registry
 	Guard    *guard.Guard
 	Terms    *terms.Registry
+	Permits  *permit.Service
 	Log      *slog.Logger
 	// OnCrash is called when an upstream crashed while it ran a request.
 	OnCrash func(crs guard.Crash)
@@ -158,6 +160,8 @@
 	maxGap      time.Duration
 	lastEventID string
 	status      int
+	// retryAfter is when the caller of a call that was not run should come back; zero selects a default.
+	retryAfter time.Duration
 }
 
 // deadline returns the earlier of the caller's deadline and the timeout of the route, or a default if neither is set.
@@ -204,7 +208,7 @@
 	rou := act.job.Route
 	switch sta {
 	case notSent:
-		return act.reason != reasonNoUpstream && act.connectFailures < maxConnectFailures
+		return act.reason != reasonNoUpstream && act.reason != reasonRateLimit && act.connectFailures < maxConnectFailures
 	case rejected:
 		return act.attempts < rou.Attempts && act.spendRetryToken()
 	case unknown:
@@ -230,13 +234,11 @@
 // attempt chooses an upstream, sends the call to it once and relays its response.
 func (act *activeCall) attempt(ctx context.Context) (sta attemptState) {
 	opt := act.sender.options
-	ins, rsv, ok := opt.Balancer.Choose(act.placementRequest(), opt.Roster.Available(act.job.Service), func(ins router.Instance) bool {
-		return act.excluded[ins.Key()]
-	})
+	ins, rsv, ok := act.choose(ctx)
 	if !ok {
-		act.reason = reasonNoUpstream
 		return notSent
 	}
+	rsv.Start()
 	res := place.Inconclusive
 	defer func() { rsv.Release(res) }()
 	con, err := act.connect(ctx, ins)
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -20,11 +20,13 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/conns"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/permit"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
 // The scripted responses. full states that the call was not run; unproven has the same status without that statement.
@@ -51,6 +53,21 @@
 // jobTimeout is the deadline of each job.
 const jobTimeout = 5 * time.Second
 
+// loneNode is a fleet of one node.
+type loneNode struct{}
+
+func (loneNode) Owner(uint64, string) (node string, self bool) { return "self", true }
+
+func (loneNode) Share() float64 { return 1 }
+
+func (loneNode) SendPermitRequest(string, *wire.PermitRequest) {}
+
+func newPermits(log *slog.Logger) (pms *permit.Service) {
+	pms = permit.New(timer.Real{}, log)
+	pms.Join(loneNode{})
+	return pms
+}
+
 // serve sends a job to scripted upstreams; aborted reports whether its response was aborted.
 func serve(t testing.TB, rou router.Route, scrs ...*fakes.ScriptedServer) (rec *httptest.ResponseRecorder, rep send.Report, aborted bool) {
 	t.Helper()
@@ -88,6 +105,7 @@
 		Log:      log,
 		Guard:    grd,
 		Terms:    terms.New(timer.Real{}, log),
+		Permits:  newPermits(log),
 		OnCrash:  func(crs guard.Crash) { grd.Add(crs) },
 		OnAnswer: func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
 	})
--- a/internal/router/terms/terms.go
+++ b/internal/router/terms/terms.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
@@ -11,21 +12,33 @@
 // logInterval is the shortest time between two lines about the rate limit of one upstream.
 const logInterval = time.Second
 
+const (
+	// recentTime is how long digests repeat what an upstream stated. The rarest digests to a peer are a second apart.
+	recentTime = 2 * time.Second
+	// maxEntries bounds the upstreams of which peers report terms.
+	maxEntries = 20_000
+)
+
 // Registry holds the terms of upstreams. It is safe for concurrent use.
 type Registry struct {
 	timers router.Timers
 	log    *slog.Logger
 
-	mut     sync.Mutex
-	entries map[string]*entry
+	mut sync.Mutex
+	// entries holds the terms by the hash of the incarnation's key.
+	entries map[uint64]*entry
+	// limited is the number of entries with a limit in force.
+	limited atomic.Int64
 }
 
 // entry holds the terms of an incarnation that states or stated some.
 type entry struct {
 	// rateLimit is in requests per second; zero means that no limit is in force.
 	rateLimit float64
-	// limitedAt is when the newest answer that stated a limit arrived.
-	limitedAt time.Time
+	// statedAt is when the newest answer arrived that stated or lifted the limit, and own is set if it answered a request of
+	// this node.
+	statedAt time.Time
+	own      bool
 	// sends counts the requests of this node since loggedAt.
 	sends    int
 	loggedAt time.Time
@@ -33,7 +46,7 @@
 
 // New returns an empty Registry.
 func New(tms router.Timers, log *slog.Logger) *Registry {
-	return &Registry{timers: tms, log: log, entries: make(map[string]*entry)}
+	return &Registry{timers: tms, log: log, entries: make(map[uint64]*entry)}
 }
 
 // Observe records the terms in an answer to a request that was sent at a time. An answer to a request that was sent before the
@@ -41,26 +54,37 @@
 func (reg *Registry) Observe(ins router.Instance, trm router.UpstreamTerms, sent time.Time) {
 	reg.mut.Lock()
 	defer reg.mut.Unlock()
-	key := ins.Key()
-	ent := reg.entries[key]
+	id := ins.Hash()
+	ent := reg.entries[id]
 	if ent == nil {
 		if trm == (router.UpstreamTerms{}) {
 			return
 		}
 		ent = &entry{}
-		reg.entries[key] = ent
+		reg.entries[id] = ent
 	}
 	now := reg.timers.Now()
 	switch {
 	case trm.RateLimit > 0:
 		reg.logLimit(ins, ent, trm.RateLimit, now)
-		ent.rateLimit, ent.limitedAt = trm.RateLimit, now
-	case ent.rateLimit > 0 && sent.After(ent.limitedAt):
-		ent.rateLimit = 0
+		reg.setLimit(ent, trm.RateLimit, now, true)
+	case ent.rateLimit > 0 && sent.After(ent.statedAt):
+		reg.setLimit(ent, 0, now, true)
 		reg.log.Info("upstream lifted its rate limit", "Upstream", ins.ID, "Sends", ent.sends)
 	}
 }
 
+// setLimit records a limit, or zero for none, that was stated at a time.
+func (reg *Registry) setLimit(ent *entry, limit float64, at time.Time, own bool) {
+	if ent.rateLimit > 0 {
+		reg.limited.Add(-1)
+	}
+	if limit > 0 {
+		reg.limited.Add(1)
+	}
+	ent.rateLimit, ent.statedAt, ent.own = limit, at, own
+}
+
 // logLimit logs a new limit, and one that is still stated once per logInterval.
 func (reg *Registry) logLimit(ins router.Instance, ent *entry, limit float64, now time.Time) {
 	since := now.Sub(ent.loggedAt)
@@ -76,17 +100,22 @@
 func (reg *Registry) RateLimit(ins router.Instance) (limit float64) {
 	reg.mut.Lock()
 	defer reg.mut.Unlock()
-	if ent := reg.entries[ins.Key()]; ent != nil {
+	if ent := reg.entries[ins.Hash()]; ent != nil {
 		return ent.rateLimit
 	}
 	return 0
 }
 
+// AnyLimited reports whether any upstream may state a limit at present.
+func (reg *Registry) AnyLimited() bool {
+	return reg.limited.Load() > 0
+}
+
 // CountSend counts a request that this node sends to an incarnation.
 func (reg *Registry) CountSend(ins router.Instance) {
 	reg.mut.Lock()
 	defer reg.mut.Unlock()
-	if ent := reg.entries[ins.Key()]; ent != nil {
+	if ent := reg.entries[ins.Hash()]; ent != nil {
 		ent.sends++
 	}
 }
@@ -95,5 +124,52 @@
 func (reg *Registry) Remove(ins router.Instance) {
 	reg.mut.Lock()
 	defer reg.mut.Unlock()
-	delete(reg.entries, ins.Key())
+	if ent := reg.entries[ins.Hash()]; ent != nil {
+		reg.setLimit(ent, 0, ent.statedAt, false)
+		delete(reg.entries, ins.Hash())
+	}
+}
+
+// Stated is a rate limit that an upstream stated or lifted.
+type Stated struct {
+	// Instance is the hash of the key of the incarnation.
+	Instance uint64
+	// RateLimit is in requests per second; zero means that the limit was lifted.
+	RateLimit float64
+	// Age is how long ago the answer arrived.
+	Age time.Duration
+}
+
+// Recent returns what upstreams stated in answers to this node within recentTime.
+func (reg *Registry) Recent() (sts []Stated) {
+	reg.mut.Lock()
+	defer reg.mut.Unlock()
+	now := reg.timers.Now()
+	for id, ent := range reg.entries {
+		if age := now.Sub(ent.statedAt); ent.own && age <= recentTime {
+			sts = append(sts, Stated{Instance: id, RateLimit: ent.rateLimit, Age: age})
+		}
+	}
+	return sts
+}
+
+// AddPeer records what a peer heard of upstreams unless this node has heard newer.
+func (reg *Registry) AddPeer(sts []Stated) {
+	reg.mut.Lock()
+	defer reg.mut.Unlock()
+	now := reg.timers.Now()
+	for _, sta := range sts {
+		at := now.Add(-sta.Age)
+		ent := reg.entries[sta.Instance]
+		if ent == nil && (sta.RateLimit == 0 || len(reg.entries) >= maxEntries) {
+			continue
+		}
+		if ent == nil {
+			ent = &entry{}
+			reg.entries[sta.Instance] = ent
+		}
+		if at.After(ent.statedAt) {
+			reg.setLimit(ent, sta.RateLimit, at, false)
+		}
+	}
 }
--- /dev/null
+++ b/internal/router/terms/terms_test.go
@@ -0,0 +1,115 @@
+package terms
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+)
+
+// TestRateLimit guards against limits that an outdated answer lifts, that outlive the upstream's need, or that a peer's old news
+// brings back.
+func TestRateLimit(t *testing.T) {
+	ins := router.Instance{ID: "up", Born: 1}
+	limited := router.UpstreamTerms{RateLimit: 2}
+	cases := map[string]struct {
+		play func(reg *Registry, tms *timer.Manual)
+		want float64
+		// elsewhere is set if another incarnation states a limit.
+		elsewhere bool
+	}{
+		"stated": {
+			play: func(reg *Registry, tms *timer.Manual) { reg.Observe(ins, limited, tms.Now()) },
+			want: 2,
+		},
+		"changed": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				reg.Observe(ins, limited, tms.Now())
+				reg.Observe(ins, router.UpstreamTerms{RateLimit: 3}, tms.Now())
+			},
+			want: 3,
+		},
+		"not stated any more": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				reg.Observe(ins, limited, tms.Now())
+				tms.Advance(time.Second)
+				reg.Observe(ins, router.UpstreamTerms{}, tms.Now())
+			},
+		},
+		"not stated in the answer to an earlier request": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				sent := tms.Now()
+				tms.Advance(time.Second)
+				reg.Observe(ins, limited, tms.Now())
+				reg.Observe(ins, router.UpstreamTerms{}, sent)
+			},
+			want: 2,
+		},
+		"heard from a peer": {
+			play: func(reg *Registry, _ *timer.Manual) {
+				reg.AddPeer([]Stated{{Instance: ins.Hash(), RateLimit: 2, Age: time.Second}})
+			},
+			want: 2,
+		},
+		"lifted at a peer": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				reg.Observe(ins, limited, tms.Now())
+				tms.Advance(time.Second)
+				reg.AddPeer([]Stated{{Instance: ins.Hash(), Age: 100 * time.Millisecond}})
+			},
+		},
+		"stated at a peer before it was lifted": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				reg.Observe(ins, limited, tms.Now())
+				tms.Advance(time.Second)
+				reg.Observe(ins, router.UpstreamTerms{}, tms.Now())
+				reg.AddPeer([]Stated{{Instance: ins.Hash(), RateLimit: 2, Age: 100 * time.Millisecond}})
+			},
+		},
+		"removed": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				reg.Observe(ins, limited, tms.Now())
+				reg.Remove(ins)
+			},
+		},
+		"of another incarnation": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				reg.Observe(router.Instance{ID: "up", Born: 2}, limited, tms.Now())
+			},
+			elsewhere: true,
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			tms := timer.NewManual(time.Unix(0, 0))
+			reg := New(tms, slog.New(slog.DiscardHandler))
+			cas.play(reg, tms)
+			if got := reg.RateLimit(ins); got != cas.want {
+				t.Errorf("limit %g, want %g", got, cas.want)
+			}
+			if got := reg.AnyLimited(); got != (cas.want > 0 || cas.elsewhere) {
+				t.Errorf("any limited: %t", got)
+			}
+		})
+	}
+}
+
+// TestRecentPassesOnOwnNews guards against nodes that pass on what they heard from peers as if it were new, so that a lifted
+// limit goes round for ever.
+func TestRecentPassesOnOwnNews(t *testing.T) {
+	own, heard := router.Instance{ID: "own"}, router.Instance{ID: "heard"}
+	tms := timer.NewManual(time.Unix(0, 0))
+	reg := New(tms, slog.New(slog.DiscardHandler))
+	reg.Observe(own, router.UpstreamTerms{RateLimit: 2}, tms.Now())
+	reg.AddPeer([]Stated{{Instance: heard.Hash(), RateLimit: 2}})
+	tms.Advance(recentTime / 2)
+	if got := reg.Recent(); len(got) != 1 || got[0] != (Stated{Instance: own.Hash(), RateLimit: 2, Age: recentTime / 2}) {
+		t.Errorf("got %+v", got)
+	}
+	tms.Advance(recentTime)
+	if got := reg.Recent(); len(got) != 0 {
+		t.Errorf("old news %+v", got)
+	}
+}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // RetryPolicy defines when a call that may have been executed can be sent again. If the upstream
@@ -158,6 +160,11 @@
 	return ins.ID + "/" + strconv.FormatInt(ins.Born, 10)
 }
 
+// Hash returns the hash of the key, by which nodes name the incarnation to each other.
+func (ins Instance) Hash() uint64 {
+	return xxhash.Sum64String(ins.Key())
+}
+
 // EngineRanks is the number of priorities that engines have for waiting prompts. An engine processes
 // (prefills) prompts in the order of their ranks, 0 first.
 const EngineRanks = 10
