Send no new requests to upstreams that state that they leave

An upstream that is about to stop says so in its answers, also while the store is away or its record still says that it is ready. Nothing read that header, so calls went on to it beyond the time that it has left to serve.

Such an upstream gets no new requests for the rest of its incarnation, and digests tell the other nodes.

--- a/internal/fakes/dialect.go
+++ b/internal/fakes/dialect.go
@@ -24,6 +24,8 @@
 	HeaderSigned = "Stand-Signed"
 	// HeaderRateLimit carries the requests per second that an upstream accepts from all nodes together.
 	HeaderRateLimit = "Stand-Rate-Limit"
+	// HeaderLeaving marks the answers of an upstream that is about to stop.
+	HeaderLeaving = "Stand-Leaving"
 	// HeaderKey carries the caller's API key.
 	HeaderKey = "Stand-Key"
 )
@@ -66,6 +68,7 @@
 		Relayable:  rsp.Header.Get(HeaderSigned) != "",
 	}
 	chk.Terms.RateLimit, _ = strconv.ParseFloat(rsp.Header.Get(HeaderRateLimit), 64)
+	chk.Terms.Leaving = rsp.Header.Get(HeaderLeaving) != ""
 	return chk
 }
 
--- a/internal/router/send/choose.go
+++ b/internal/router/send/choose.go
@@ -96,10 +96,10 @@
 	return router.Instance{}, nil, false
 }
 
-// propose selects an upstream on which no attempt failed and that avoid does not exclude.
+// propose selects an upstream that is usable and that avoid does not exclude.
 func (act *activeCall) propose(list []router.Instance, avoid func(ins router.Instance) bool) (ins router.Instance, rsv *place.Reservation, ok bool) {
 	ins, rsv, ok = act.sender.options.Balancer.Propose(act.placementRequest(), list, func(ins router.Instance) bool {
-		return act.excluded[ins.Key()] || avoid(ins)
+		return !act.isUsable(ins) || avoid(ins)
 	})
 	if !ok {
 		act.reason = reasonNoUpstream
@@ -110,7 +110,7 @@
 // nextFree returns the upstream with a rate limit whose next permit is free first, and how long that takes.
 func (act *activeCall) nextFree(list []router.Instance) (best router.Instance, delay time.Duration, fnd bool) {
 	for _, ins := range list {
-		if act.excluded[ins.Key()] || !act.isLimited(ins) {
+		if !act.isUsable(ins) || !act.isLimited(ins) {
 			continue
 		}
 		if one := act.permitFreeIn(ins); !fnd || one < delay {
@@ -132,6 +132,10 @@
 		return false
 	}
 	ver.Wait(ctx)
+	if !act.isUsable(ins) {
+		rsv.Release(place.Inconclusive)
+		return false
+	}
 	return true
 }
 
@@ -145,6 +149,11 @@
 	return max(0, min(wait, time.Duration(permitDeadlineShare*float64(left))))
 }
 
+// isUsable reports whether no attempt of the call failed at an upstream and the upstream accepts new requests.
+func (act *activeCall) isUsable(ins router.Instance) bool {
+	return !act.excluded[ins.Key()] && !act.sender.options.Terms.IsLeaving(ins)
+}
+
 func (act *activeCall) isLimited(ins router.Instance) bool {
 	return act.sender.options.Terms.RateLimit(ins) > 0
 }
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -85,6 +85,11 @@
 // serveCall is serveWith for a call with the given body and prompt.
 func serveCall(t testing.TB, grd *guard.Guard, rou router.Route, cal router.Call, scrs ...*fakes.ScriptedServer) (rec *httptest.ResponseRecorder, rep send.Report, aborted bool) {
 	t.Helper()
+	return sendCall(newSender(grd, scrs...), rou, cal)
+}
+
+// newSender returns a Sender to scripted upstreams.
+func newSender(grd *guard.Guard, scrs ...*fakes.ScriptedServer) *send.Sender {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ros := roster.New(roster.Options{Timers: timer.Real{}, Codec: fakes.Codec{}, Log: log, OnRemove: func(router.Instance) {}})
 	var upd follow.Update
@@ -95,7 +100,7 @@
 		})
 	}
 	ros.Apply(upd)
-	snd := send.New(send.Options{
+	return send.New(send.Options{
 		Timers:   timer.Real{},
 		Dialect:  fakes.Dialect{},
 		Roster:   ros,
@@ -109,6 +114,10 @@
 		OnCrash:  func(crs guard.Crash) { grd.Add(crs) },
 		OnAnswer: func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
 	})
+}
+
+// sendCall sends a call with the given body and prompt.
+func sendCall(snd *send.Sender, rou router.Route, cal router.Call) (rec *httptest.ResponseRecorder, rep send.Report, aborted bool) {
 	rou.Attempts = max(rou.Attempts, 1)
 	rec = httptest.NewRecorder()
 	job := send.Job{Service: "svc", Route: &rou, Call: &router.Call{
--- a/internal/router/terms/terms.go
+++ b/internal/router/terms/terms.go
@@ -27,8 +27,8 @@
 	mut sync.Mutex
 	// entries holds the terms by the hash of the incarnation's key.
 	entries map[uint64]*entry
-	// limited is the number of entries with a limit in force.
-	limited atomic.Int64
+	// limited is the number of entries with a limit in force, and leaving the number of those that are leaving.
+	limited, leaving atomic.Int64
 }
 
 // entry holds the terms of an incarnation that states or stated some.
@@ -39,6 +39,10 @@
 	// this node.
 	statedAt time.Time
 	own      bool
+	// leaving is set once the upstream stated that it is about to stop, at leavingAt; see own for ownLeaving.
+	leaving    bool
+	ownLeaving bool
+	leavingAt  time.Time
 	// sends counts the requests of this node since loggedAt.
 	sends    int
 	loggedAt time.Time
@@ -64,6 +68,11 @@
 		reg.entries[id] = ent
 	}
 	now := reg.timers.Now()
+	if trm.Leaving && !ent.ownLeaving {
+		reg.setLeaving(ent)
+		ent.ownLeaving, ent.leavingAt = true, now
+		reg.log.Info("upstream states that it is leaving", "Upstream", ins.ID, "Service", ins.Service)
+	}
 	switch {
 	case trm.RateLimit > 0:
 		reg.logLimit(ins, ent, trm.RateLimit, now)
@@ -96,6 +105,25 @@
 	ent.sends, ent.loggedAt = 0, now
 }
 
+// setLeaving records that an incarnation is about to stop.
+func (reg *Registry) setLeaving(ent *entry) {
+	if !ent.leaving {
+		ent.leaving = true
+		reg.leaving.Add(1)
+	}
+}
+
+// IsLeaving reports whether an incarnation is about to stop, so that it must get no new requests.
+func (reg *Registry) IsLeaving(ins router.Instance) bool {
+	if reg.leaving.Load() == 0 {
+		return false
+	}
+	reg.mut.Lock()
+	defer reg.mut.Unlock()
+	ent := reg.entries[ins.Hash()]
+	return ent != nil && ent.leaving
+}
+
 // RateLimit returns the requests per second that an incarnation accepts from all nodes together; zero means no limit.
 func (reg *Registry) RateLimit(ins router.Instance) (limit float64) {
 	reg.mut.Lock()
@@ -126,14 +154,19 @@
 	defer reg.mut.Unlock()
 	if ent := reg.entries[ins.Hash()]; ent != nil {
 		reg.setLimit(ent, 0, ent.statedAt, false)
+		if ent.leaving {
+			reg.leaving.Add(-1)
+		}
 		delete(reg.entries, ins.Hash())
 	}
 }
 
-// Stated is a rate limit that an upstream stated or lifted.
+// Stated is a rate limit that an upstream stated or lifted, or its statement that it is leaving.
 type Stated struct {
 	// Instance is the hash of the key of the incarnation.
 	Instance uint64
+	// Leaving is set if the incarnation is about to stop; RateLimit has no meaning then.
+	Leaving bool
 	// RateLimit is in requests per second; zero means that the limit was lifted.
 	RateLimit float64
 	// Age is how long ago the answer arrived.
@@ -149,6 +182,9 @@
 		if age := now.Sub(ent.statedAt); ent.own && age <= recentTime {
 			sts = append(sts, Stated{Instance: id, RateLimit: ent.rateLimit, Age: age})
 		}
+		if age := now.Sub(ent.leavingAt); ent.ownLeaving && age <= recentTime {
+			sts = append(sts, Stated{Instance: id, Leaving: true, Age: age})
+		}
 	}
 	return sts
 }
@@ -161,13 +197,17 @@
 	for _, sta := range sts {
 		at := now.Add(-sta.Age)
 		ent := reg.entries[sta.Instance]
-		if ent == nil && (sta.RateLimit == 0 || len(reg.entries) >= maxEntries) {
+		if ent == nil && (sta.RateLimit == 0 && !sta.Leaving || len(reg.entries) >= maxEntries) {
 			continue
 		}
 		if ent == nil {
 			ent = &entry{}
 			reg.entries[sta.Instance] = ent
 		}
+		if sta.Leaving {
+			reg.setLeaving(ent)
+			continue
+		}
 		if at.After(ent.statedAt) {
 			reg.setLimit(ent, sta.RateLimit, at, false)
 		}
--- a/internal/router/terms/terms_test.go
+++ b/internal/router/terms/terms_test.go
@@ -113,3 +113,42 @@
 		t.Errorf("old news %+v", got)
 	}
 }
+
+// TestLeaving guards against new requests to an upstream that stated that it is about to stop, and against an old incarnation's
+// statement that keeps requests from a new one.
+func TestLeaving(t *testing.T) {
+	ins := router.Instance{ID: "up", Born: 1}
+	leaving := router.UpstreamTerms{Leaving: true}
+	cases := map[string]struct {
+		play func(reg *Registry, tms *timer.Manual)
+		want bool
+	}{
+		"stated": {play: func(reg *Registry, tms *timer.Manual) { reg.Observe(ins, leaving, tms.Now()) }, want: true},
+		"later answers to earlier requests do not state it": {
+			play: func(reg *Registry, tms *timer.Manual) {
+				reg.Observe(ins, leaving, tms.Now())
+				tms.Advance(time.Second)
+				reg.Observe(ins, router.UpstreamTerms{}, tms.Now())
+			},
+			want: true,
+		},
+		"heard from a peer": {
+			play: func(reg *Registry, _ *timer.Manual) { reg.AddPeer([]Stated{{Instance: ins.Hash(), Leaving: true}}) },
+			want: true,
+		},
+		"of the incarnation before": {
+			play: func(reg *Registry, tms *timer.Manual) { reg.Observe(router.Instance{ID: "up"}, leaving, tms.Now()) },
+		},
+		"not stated": {play: func(reg *Registry, tms *timer.Manual) { reg.Observe(ins, router.UpstreamTerms{}, tms.Now()) }},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			tms := timer.NewManual(time.Unix(0, 0))
+			reg := New(tms, slog.New(slog.DiscardHandler))
+			cas.play(reg, tms)
+			if got := reg.IsLeaving(ins); got != cas.want {
+				t.Errorf("leaving: %t, want %t", got, cas.want)
+			}
+		})
+	}
+}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -195,6 +195,8 @@
 	// RateLimit is the requests per second that the upstream accepts from all nodes together; zero means that it states no
 	// limit.
 	RateLimit float64
+	// Leaving is set when the upstream is about to stop and accepts no new requests.
+	Leaving bool
 }
 
 // AnswerCheck states whether an upstream's answer can be used for a call.
