Leave upstreams alone for the Retry-After of their rejections

An upstream that turns a request away with 503 may state for how long it wants nothing from the node. The header was not read: after a backoff of its own the node sent the next requests, and where all upstreams had turned it away it sent them at once and told callers to come back after 0.3 s.

Where no other is left the call is refused with the shortest of these times as Retry-After.

--- a/internal/fakes/dialect.go
+++ b/internal/fakes/dialect.go
@@ -68,6 +68,9 @@
 		Relayable:  rsp.Header.Get(HeaderSigned) != "",
 	}
 	chk.Terms.RateLimit, _ = strconv.ParseFloat(rsp.Header.Get(HeaderRateLimit), 64)
+	if sec, err := strconv.ParseFloat(rsp.Header.Get("Retry-After"), 64); err == nil {
+		chk.Terms.RetryAfter = time.Duration(sec * float64(time.Second))
+	}
 	chk.Terms.Leaving = rsp.Header.Get(HeaderLeaving) != ""
 	return chk
 }
--- a/internal/router/send/choose.go
+++ b/internal/router/send/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
@@ -26,6 +27,9 @@
 	minRetryAfter = 50 * time.Millisecond
 )
 
+// reasonPaused is the reason when the upstreams that are left accept no requests from this node for some time.
+const reasonPaused = "pauses of the upstreams"
+
 // reasonRateLimit is the reason when the upstreams that are left accept no more requests at present.
 const reasonRateLimit = "rate limits of the upstreams"
 
@@ -74,7 +78,7 @@
 	for range waitingPermitRequests {
 		next, delay, fnd := act.nextFree(list)
 		if !fnd {
-			act.reason = reasonNoUpstream
+			act.refuseUntilFree(list)
 			return router.Instance{}, nil, false
 		}
 		if delay > wait {
@@ -102,11 +106,39 @@
 		return !act.isUsable(ins) || avoid(ins)
 	})
 	if !ok {
-		act.reason = reasonNoUpstream
+		act.refuseUntilFree(list)
 	}
 	return ins, rsv, ok
 }
 
+// refuseUntilFree records why no upstream can be chosen. If some only pause, the caller is told when the first one accepts
+// requests again.
+func (act *activeCall) refuseUntilFree(list []router.Instance) {
+	act.reason = reasonNoUpstream
+	left := slices.DeleteFunc(slices.Clone(list), func(ins router.Instance) bool { return act.excluded[ins.Key()] })
+	if pause := act.commonPause(left); pause > 0 {
+		act.reason, act.retryAfter = reasonPaused, pause
+	}
+}
+
+// commonPause returns how long none of the upstreams accepts requests from this node; zero if one does, or if all are leaving.
+func (act *activeCall) commonPause(list []router.Instance) (pause time.Duration) {
+	trs := act.sender.options.Terms
+	for _, ins := range list {
+		if trs.IsLeaving(ins) {
+			continue
+		}
+		left := trs.PauseLeft(ins)
+		if left == 0 {
+			return 0
+		}
+		if pause == 0 || left < pause {
+			pause = left
+		}
+	}
+	return pause
+}
+
 // nextFree returns the upstream with a rate limit whose next permit is free first, and how long that takes.
 func (act *activeCall) nextFree(list []router.Instance) (best router.Instance, delay time.Duration, fnd bool) {
 	for _, ins := range list {
@@ -151,7 +183,8 @@
 
 // isUsable reports whether no attempt of the call failed at an upstream and the upstream accepts new requests.
 func (act *activeCall) isUsable(ins router.Instance) bool {
-	return !act.excluded[ins.Key()] && !act.sender.options.Terms.IsLeaving(ins)
+	trs := act.sender.options.Terms
+	return !act.excluded[ins.Key()] && !trs.IsLeaving(ins) && trs.PauseLeft(ins) == 0
 }
 
 func (act *activeCall) isLimited(ins router.Instance) bool {
--- a/internal/router/send/finish.go
+++ b/internal/router/send/finish.go
@@ -42,6 +42,9 @@
 	}
 	ref := router.Refuse(http.StatusServiceUnavailable, router.CodeNoUpstream, "not run: %s", act.reason)
 	ref.RetryAfter = defaultRetryAfter
+	if act.retryAfter == 0 {
+		act.retryAfter = act.commonPause(act.sender.options.Roster.Available(act.job.Service))
+	}
 	if act.retryAfter > 0 {
 		ref.RetryAfter = act.retryAfter
 	}
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -208,7 +208,7 @@
 	rou := act.job.Route
 	switch sta {
 	case notSent:
-		return act.reason != reasonNoUpstream && act.reason != reasonRateLimit && act.connectFailures < maxConnectFailures
+		return !act.outOfUpstreams() && act.connectFailures < maxConnectFailures
 	case rejected:
 		return act.attempts < rou.Attempts && act.spendRetryToken()
 	case unknown:
@@ -228,6 +228,11 @@
 	return false
 }
 
+// outOfUpstreams reports whether the last attempt found no upstream to send the call to.
+func (act *activeCall) outOfUpstreams() bool {
+	return act.reason == reasonNoUpstream || act.reason == reasonRateLimit || act.reason == reasonPaused
+}
+
 // reasonNoUpstream is the reason when no upstream is left to try.
 const reasonNoUpstream = "no upstream"
 
--- a/internal/router/terms/terms.go
+++ b/internal/router/terms/terms.go
@@ -27,8 +27,8 @@
 	mut sync.Mutex
 	// entries holds the terms by the hash of the incarnation's key.
 	entries map[uint64]*entry
-	// limited is the number of entries with a limit in force, and leaving the number of those that are leaving.
-	limited, leaving atomic.Int64
+	// limited is the number of entries with a limit in force, and known that of all entries.
+	limited, known atomic.Int64
 }
 
 // entry holds the terms of an incarnation that states or stated some.
@@ -43,6 +43,8 @@
 	leaving    bool
 	ownLeaving bool
 	leavingAt  time.Time
+	// pausedUntil is until when the upstream accepts no requests from this node.
+	pausedUntil time.Time
 	// sends counts the requests of this node since loggedAt.
 	sends    int
 	loggedAt time.Time
@@ -64,15 +66,18 @@
 		if trm == (router.UpstreamTerms{}) {
 			return
 		}
-		ent = &entry{}
-		reg.entries[id] = ent
+		ent = reg.add(id)
 	}
 	now := reg.timers.Now()
 	if trm.Leaving && !ent.ownLeaving {
-		reg.setLeaving(ent)
+		ent.leaving = true
 		ent.ownLeaving, ent.leavingAt = true, now
 		reg.log.Info("upstream states that it is leaving", "Upstream", ins.ID, "Service", ins.Service)
 	}
+	if until := now.Add(trm.RetryAfter); trm.RetryAfter > 0 && until.After(ent.pausedUntil) {
+		ent.pausedUntil = until
+		reg.log.Info("upstream accepts no requests for some time", "Upstream", ins.ID, "Service", ins.Service, "PauseMs", trm.RetryAfter.Milliseconds())
+	}
 	switch {
 	case trm.RateLimit > 0:
 		reg.logLimit(ins, ent, trm.RateLimit, now)
@@ -94,6 +99,14 @@
 	ent.rateLimit, ent.statedAt, ent.own = limit, at, own
 }
 
+// add creates an entry; the lock is held.
+func (reg *Registry) add(id uint64) (ent *entry) {
+	ent = &entry{}
+	reg.entries[id] = ent
+	reg.known.Store(int64(len(reg.entries)))
+	return ent
+}
+
 // logLimit logs a new limit, and one that is still stated once per logInterval.
 func (reg *Registry) logLimit(ins router.Instance, ent *entry, limit float64, now time.Time) {
 	since := now.Sub(ent.loggedAt)
@@ -105,17 +118,9 @@
 	ent.sends, ent.loggedAt = 0, now
 }
 
-// setLeaving records that an incarnation is about to stop.
-func (reg *Registry) setLeaving(ent *entry) {
-	if !ent.leaving {
-		ent.leaving = true
-		reg.leaving.Add(1)
-	}
-}
-
 // IsLeaving reports whether an incarnation is about to stop, so that it must get no new requests.
 func (reg *Registry) IsLeaving(ins router.Instance) bool {
-	if reg.leaving.Load() == 0 {
+	if reg.known.Load() == 0 {
 		return false
 	}
 	reg.mut.Lock()
@@ -124,6 +129,20 @@
 	return ent != nil && ent.leaving
 }
 
+// PauseLeft returns how long an incarnation accepts no requests from this node; zero if it accepts some.
+func (reg *Registry) PauseLeft(ins router.Instance) time.Duration {
+	if reg.known.Load() == 0 {
+		return 0
+	}
+	reg.mut.Lock()
+	defer reg.mut.Unlock()
+	ent := reg.entries[ins.Hash()]
+	if ent == nil {
+		return 0
+	}
+	return max(0, ent.pausedUntil.Sub(reg.timers.Now()))
+}
+
 // RateLimit returns the requests per second that an incarnation accepts from all nodes together; zero means no limit.
 func (reg *Registry) RateLimit(ins router.Instance) (limit float64) {
 	reg.mut.Lock()
@@ -154,10 +173,8 @@
 	defer reg.mut.Unlock()
 	if ent := reg.entries[ins.Hash()]; ent != nil {
 		reg.setLimit(ent, 0, ent.statedAt, false)
-		if ent.leaving {
-			reg.leaving.Add(-1)
-		}
 		delete(reg.entries, ins.Hash())
+		reg.known.Store(int64(len(reg.entries)))
 	}
 }
 
@@ -201,11 +218,10 @@
 			continue
 		}
 		if ent == nil {
-			ent = &entry{}
-			reg.entries[sta.Instance] = ent
+			ent = reg.add(sta.Instance)
 		}
 		if sta.Leaving {
-			reg.setLeaving(ent)
+			ent.leaving = true
 			continue
 		}
 		if at.After(ent.statedAt) {
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -197,6 +197,9 @@
 	RateLimit float64
 	// Leaving is set when the upstream is about to stop and accepts no new requests.
 	Leaving bool
+	// RetryAfter is how long the upstream accepts no requests from this node, stated with a rejection; zero means that it
+	// states nothing.
+	RetryAfter time.Duration
 }
 
 // AnswerCheck states whether an upstream's answer can be used for a call.
