--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -69,6 +69,8 @@
 
 	mut     sync.Mutex
 	records map[string]router.Record
+	// era is the era of the store's versions in the copy.
+	era int64
 	// version is the store version that the copy is current to; zero before the first read.
 	version int64
 	// lastChange is the version of the newest change up to which the copy is complete. It can be below version, because
@@ -290,6 +292,7 @@
 	fol.mut.Lock()
 	upd := Update{Changed: fol.merge(chs, fromStore)}
 	silence := fol.silence()
+	fol.logEra(chs, fromStore)
 	if fromStore {
 		fol.answeredAt = time.Now()
 		fol.confirmedMs, fol.confirmedAt = chs.StoreMs, answered
@@ -317,6 +320,17 @@
 	return len(upd.Changed)
 }
 
+// logEra logs the first answer of each era, and snapshots that are dropped because the copy has a higher version.
+func (fol *Follower) logEra(chs router.Changes, fromStore bool) {
+	outdated := chs.Snapshot && chs.Version < fol.version
+	if chs.Era == fol.era && !outdated {
+		return
+	}
+	fol.options.Log.Info("store era", "Kind", fol.options.Kind, "Era", chs.Era, "Before", fol.era, "Version", chs.Version, "Held", fol.version,
+		"FromStore", fromStore, "Dropped", outdated)
+	fol.era = chs.Era
+}
+
 // recordVersions updates lastChange and the deletions kept for peers. The changes are complete up to a version only: a listing
 // of several pages holds newer records, but not all of them.
 func (fol *Follower) recordVersions(changed []router.Record, complete int64) {
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -250,6 +250,9 @@
 
 // Changes are the records that changed up to a version of the store.
 type Changes struct {
+	// Era is the era of the store's versions; it grows when the store is restored from a copy, which gives versions out again.
+	// Versions of different eras must not be compared. Zero is the era of a store that states none.
+	Era     int64
 	Version int64
 	// Snapshot is set when Records holds all existing records instead of the changed ones.
 	Snapshot bool
