Compare versions of the store only within an era

Cause: versions of a store that was restored were compared with those of before. Peers compared the same numbers in digests, and confirmed copies by them. The class of fault is a number that is taken for an order beyond the life of the counter that gave it out.

A copy now belongs to an era of the store. Digests and copies between nodes state the era; those of the release before state none and are not compared. A listing that does not help is not repeated without a pause.

--- a/internal/fakes/recordstore.go
+++ b/internal/fakes/recordstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 // RecordStore is a versioned record store in memory. It implements router.RecordStore.
 type RecordStore struct {
 	mut     sync.Mutex
+	era     int64
 	version int64
 	records map[router.RecordKind]map[string]router.Record
 	history map[router.RecordKind][]router.Record
@@ -25,6 +27,38 @@
 	started time.Time
 }
 
+// Backup is a copy of the contents of a RecordStore.
+type Backup struct {
+	version int64
+	records map[router.RecordKind]map[string]router.Record
+}
+
+// Backup returns a copy of the contents.
+func (sto *RecordStore) Backup() (bak Backup) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	bak = Backup{version: sto.version, records: make(map[router.RecordKind]map[string]router.Record)}
+	for knd, rcs := range sto.records {
+		bak.records[knd] = maps.Clone(rcs)
+	}
+	return bak
+}
+
+// Restore replaces the contents by those of a backup and begins an era, in which the versions after the backup's are given out
+// again. Earlier history is discarded.
+func (sto *RecordStore) Restore(bak Backup) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	sto.era++
+	sto.version, sto.compacted = bak.version, bak.version
+	sto.records = make(map[router.RecordKind]map[string]router.Record)
+	for knd, rcs := range bak.records {
+		sto.records[knd] = maps.Clone(rcs)
+	}
+	sto.history = make(map[router.RecordKind][]router.Record)
+	sto.notifyWatchers()
+}
+
 // NewRecordStore returns an empty RecordStore.
 func NewRecordStore() *RecordStore {
 	return &RecordStore{
@@ -98,7 +132,7 @@
 	if sto.failure != nil {
 		return router.Changes{}, sto.failure
 	}
-	chs = router.Changes{Version: sto.version, Snapshot: true, StoreMs: sto.clock()}
+	chs = router.Changes{Era: sto.era, Version: sto.version, Snapshot: true, StoreMs: sto.clock()}
 	for _, rec := range sto.records[knd] {
 		chs.Records = append(chs.Records, rec)
 	}
@@ -137,10 +171,10 @@
 	switch {
 	case sto.failure != nil:
 		return router.Changes{}, sto.failure
-	case after < sto.compacted:
+	case after < sto.compacted || after > sto.version:
 		return router.Changes{}, router.ErrCompacted
 	}
-	chs.Version = sto.version
+	chs.Era, chs.Version = sto.era, sto.version
 	for _, rec := range sto.history[knd] {
 		if rec.Version > after {
 			chs.Records = append(chs.Records, rec)
--- a/internal/router/edge/handler_test.go
+++ b/internal/router/edge/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/logs"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/trace"
 )
@@ -89,7 +90,7 @@
 	if man != "" {
 		nod.manifests.MergePeer(router.Changes{Version: 1, Snapshot: true, Records: []router.Record{{Key: "m", Value: []byte(man), Version: 1}}})
 		// No store confirms the manifest: it counts as current for an hour.
-		nod.manifests.Confirm(1, 1, -time.Hour)
+		nod.manifests.Confirm(follow.Position{LastChange: 1}, 1, -time.Hour)
 	}
 	nod.instances.MergePeer(router.Changes{Version: 2, Snapshot: true, Records: []router.Record{
 		{Key: "up", Value: []byte("{service: svc, address: '" + address + "'}"), Version: 2},
--- a/internal/router/follow/confirm.go
+++ b/internal/router/follow/confirm.go
@@ -29,15 +29,16 @@
 	return fol.failingSince.IsZero() && !fol.answeredAt.IsZero() && fol.silence() <= maxReaderSilence
 }
 
-// Confirmed returns up to which time of the store's clock, in milliseconds, the copy is known to hold all changes, and how
-// long ago that was. It returns zero for both if nothing is known.
-func (fol *Follower) Confirmed() (storeMs int64, age time.Duration) {
+// Confirmed returns the position of the copy, up to which time of the store's clock, in milliseconds, it is known to hold all
+// changes, and how long ago that was. Both times are zero if nothing is known.
+func (fol *Follower) Confirmed() (pos Position, storeMs int64, age time.Duration) {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
+	pos = Position{Era: fol.era, LastChange: fol.lastChange}
 	if fol.confirmedAt.IsZero() {
-		return 0, 0
+		return pos, 0, 0
 	}
-	return fol.confirmedMs, time.Since(fol.confirmedAt)
+	return pos, fol.confirmedMs, time.Since(fol.confirmedAt)
 }
 
 // IsCurrent reports whether the copy is known to have held all changes at some time within the given age.
@@ -47,12 +48,13 @@
 	return !fol.confirmedAt.IsZero() && time.Since(fol.confirmedAt) <= age
 }
 
-// Confirm records that a peer whose newest change is lastChange held all changes up to a time of the store's clock, an age ago.
-// Peers pass on what others confirmed: as a time of the store's clock is newer only once, the age does not shrink on the way.
-func (fol *Follower) Confirm(lastChange, storeMs int64, age time.Duration) {
+// Confirm records that a peer's copy held all changes up to a time of the store's clock, an age ago. Peers pass on what others
+// confirmed: as a time of the store's clock is newer only once, the age does not shrink on the way. A copy of another era
+// confirms nothing.
+func (fol *Follower) Confirm(pos Position, storeMs int64, age time.Duration) {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
-	if lastChange <= fol.lastChange && fol.version > 0 && storeMs > fol.confirmedMs {
+	if pos.Era == fol.era && pos.LastChange <= fol.lastChange && fol.version > 0 && storeMs > fol.confirmedMs {
 		fol.confirmedMs, fol.confirmedAt = storeMs, time.Now().Add(-age)
 	}
 }
--- a/internal/router/follow/doc.go
+++ b/internal/router/follow/doc.go
@@ -9,6 +9,10 @@
 // copies from any origin can be merged: an older version of a record never replaces a newer
 // one.
 //
+// The versions belong to an era. When the store is restored from a copy it gives versions out again and states a later era. A
+// Follower compares only versions of one era: it replaces its copy by the first snapshot of a later era, from the store or from
+// a peer, and drops what comes from an earlier one. Peers that state no era are of the earliest.
+//
 // A copy is confirmed whenever it is known to hold all changes up to a time of the store's
 // clock, by an answer of the store or by a peer that has no newer changes.
 //
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -48,6 +48,8 @@
 	// StoreRecovered is set if the changes are the first response of the store after an outage, or
 	// come from a peer for which an outage ended shortly before.
 	StoreRecovered bool
+	// Restored is set if the changes come from a store that was restored from a copy. Records may be older than those of before.
+	Restored bool
 }
 
 // Options configure a Follower.
@@ -105,6 +107,8 @@
 	retry := minRetryPause
 	// pause is the time since the last answer of the store that was spent without a call.
 	pause := time.Duration(0)
+	// reloaded is set when the history was discarded since the last watch that succeeded.
+	reloaded := false
 	for ctx.Err() == nil {
 		if fol.usesPeers() {
 			fol.switchToPeers()
@@ -116,9 +120,17 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			err = fol.checkEra(chs)
+		}
 		switch {
 		case errors.Is(err, router.ErrCompacted):
 			fol.requireReload()
+			if reloaded {
+				// The listing before did not help.
+				timer.Sleep(ctx, retry/2+rand.N(retry))
+			}
+			reloaded = true
 			continue
 		case err != nil:
 			fol.recordFailure(err, time.Since(sent))
@@ -128,6 +140,7 @@
 		}
 		retry = minRetryPause
 		pause = 0
+		reloaded = reloaded && chs.Snapshot
 		answered := time.Now()
 		if chs.Snapshot {
 			// The pages of a snapshot are at least as new as the call.
@@ -149,6 +162,21 @@
 	fol.apply(chs, time.Time{})
 }
 
+// checkEra returns router.ErrCompacted for changes in an era after that of the copy, which continue no version of it, and
+// router.ErrUnavailable for an answer of an era before.
+func (fol *Follower) checkEra(chs router.Changes) (err error) {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	switch {
+	case chs.Era < fol.era:
+		return errors.Wrapf(router.ErrUnavailable, "era %d is over", chs.Era)
+	case chs.Era > fol.era && !chs.Snapshot:
+		return errors.Wrapf(router.ErrCompacted, "era %d has begun", chs.Era)
+	default:
+		return nil
+	}
+}
+
 // UsesPeers reports whether changes come from peers at present.
 func (fol *Follower) UsesPeers() bool {
 	return fol.usesPeers()
@@ -163,11 +191,30 @@
 }
 
 // LastChange returns the version of the newest change in the copy. Nodes compare it to find out
-// whose copy is newer.
+// whose copy is newer, if both are of the same era.
 func (fol *Follower) LastChange() int64 {
+	return fol.Position().LastChange
+}
+
+// Position identifies the state of a copy.
+type Position struct {
+	// Era is the era of the store's versions.
+	Era int64
+	// LastChange is the version of the newest change.
+	LastChange int64
+}
+
+// Before reports whether a copy lacks changes that another one has: it is of an earlier era, or of the same era with an older
+// newest change.
+func (pos Position) Before(oth Position) bool {
+	return pos.Era < oth.Era || pos.Era == oth.Era && pos.LastChange < oth.LastChange
+}
+
+// Position returns the era and the newest change of the copy.
+func (fol *Follower) Position() Position {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
-	return fol.lastChange
+	return Position{Era: fol.era, LastChange: fol.lastChange}
 }
 
 // OutageDuration returns how long the store has not responded; zero means that it responds or that
@@ -181,7 +228,7 @@
 	return max(1, time.Since(fol.failingSince))
 }
 
-// ChangesSince returns the changes after a version. It returns a snapshot if the version is zero, or
+// ChangesSince returns the changes after a version of the copy's era. It returns a snapshot if the version is zero, or
 // not above that of a deletion that is no longer kept.
 func (fol *Follower) ChangesSince(after int64) (chs router.Changes) {
 	fol.mut.Lock()
@@ -189,7 +236,7 @@
 	if after <= fol.deletionsDropped {
 		return fol.snapshot()
 	}
-	chs = router.Changes{Version: fol.version, AfterOutage: time.Since(fol.recoveredAt) < afterOutagePeriod}
+	chs = router.Changes{Era: fol.era, Version: fol.version, AfterOutage: time.Since(fol.recoveredAt) < afterOutagePeriod}
 	for _, rec := range fol.records {
 		if rec.Version > after {
 			chs.Records = append(chs.Records, rec)
@@ -211,7 +258,7 @@
 }
 
 func (fol *Follower) snapshot() (chs router.Changes) {
-	chs = router.Changes{Version: fol.version, Snapshot: true, AfterOutage: time.Since(fol.recoveredAt) < afterOutagePeriod}
+	chs = router.Changes{Era: fol.era, Version: fol.version, Snapshot: true, AfterOutage: time.Since(fol.recoveredAt) < afterOutagePeriod}
 	for _, rec := range fol.records {
 		chs.Records = append(chs.Records, rec)
 	}
@@ -284,119 +331,3 @@
 	fol.mut.Unlock()
 	fol.options.Log.Info("store history discarded", "Kind", fol.options.Kind)
 }
-
-// apply merges changes, passes those that are new to Options.Apply, and returns their number. The store held no others at the
-// time answered, which is zero if the changes come from a peer.
-func (fol *Follower) apply(chs router.Changes, answered time.Time) (num int) {
-	fromStore := !answered.IsZero()
-	fol.mut.Lock()
-	upd := Update{Changed: fol.merge(chs, fromStore)}
-	silence := fol.silence()
-	fol.logEra(chs, fromStore)
-	if fromStore {
-		fol.answeredAt = time.Now()
-		fol.confirmedMs, fol.confirmedAt = chs.StoreMs, answered
-		upd.StoreRecovered = !fol.failingSince.IsZero()
-		fol.failingSince = time.Time{}
-		if upd.StoreRecovered {
-			fol.recoveredAt = time.Now()
-		}
-	} else {
-		upd.StoreRecovered = chs.AfterOutage && len(upd.Changed) > 0
-	}
-	fol.version = max(fol.version, chs.Version)
-	fol.loaded = true
-	fol.recordVersions(upd.Changed, chs.Version)
-	fol.recordKnown(chs)
-	version := fol.version
-	if len(upd.Changed) > 0 || upd.StoreRecovered {
-		// Called under the lock, so that updates are applied in order.
-		fol.options.Apply(upd)
-	}
-	fol.mut.Unlock()
-	if fromStore && upd.StoreRecovered {
-		fol.options.Log.Info("store regained", "Kind", fol.options.Kind, "Version", version, "SilenceMs", silence.Milliseconds())
-	}
-	return len(upd.Changed)
-}
-
-// logEra logs the first answer of each era, and snapshots that are dropped because the copy has a higher version.
-func (fol *Follower) logEra(chs router.Changes, fromStore bool) {
-	outdated := chs.Snapshot && chs.Version < fol.version
-	if chs.Era == fol.era && !outdated {
-		return
-	}
-	fol.options.Log.Info("store era", "Kind", fol.options.Kind, "Era", chs.Era, "Before", fol.era, "Version", chs.Version, "Held", fol.version,
-		"FromStore", fromStore, "Dropped", outdated)
-	fol.era = chs.Era
-}
-
-// recordVersions updates lastChange and the deletions kept for peers. The changes are complete up to a version only: a listing
-// of several pages holds newer records, but not all of them.
-func (fol *Follower) recordVersions(changed []router.Record, complete int64) {
-	for _, rec := range changed {
-		fol.lastChange = max(fol.lastChange, min(rec.Version, complete))
-		if rec.Deleted {
-			fol.deletions[rec.Key] = rec.Version
-		} else {
-			delete(fol.deletions, rec.Key)
-		}
-	}
-	if len(fol.deletions) <= maxDeletions {
-		return
-	}
-	for _, ver := range fol.deletions {
-		fol.deletionsDropped = max(fol.deletionsDropped, ver)
-	}
-	clear(fol.deletions)
-}
-
-// recordKnown updates the versions by received changes that the copy already had, such as the deletion of a record that it
-// does not hold. Otherwise this node would fetch them from peers again and again.
-func (fol *Follower) recordKnown(chs router.Changes) {
-	if chs.Snapshot {
-		return
-	}
-	for _, rec := range chs.Records {
-		fol.lastChange = max(fol.lastChange, min(rec.Version, chs.Version))
-		if _, fnd := fol.records[rec.Key]; rec.Deleted && !fnd {
-			fol.deletions[rec.Key] = max(fol.deletions[rec.Key], rec.Version)
-		}
-	}
-}
-
-// merge adds the changes that are newer than the copy and returns them. Records that are missing
-// from a snapshot count as deleted.
-//
-// A record from a peer that the copy does not hold, although the copy is current to the record's version, was deleted since:
-// the peer's answer was on its way longer than the deletion.
-func (fol *Follower) merge(chs router.Changes, fromStore bool) (changed []router.Record) {
-	if chs.Snapshot && chs.Version < fol.version {
-		return nil
-	}
-	seen := make(map[string]bool, len(chs.Records))
-	for _, rec := range chs.Records {
-		seen[rec.Key] = true
-		old, fnd := fol.records[rec.Key]
-		outdated := !fnd && !fromStore && !chs.Snapshot && rec.Version <= fol.version
-		if rec.Version <= old.Version || rec.Deleted && !fnd || outdated {
-			continue
-		}
-		if rec.Deleted {
-			delete(fol.records, rec.Key)
-		} else {
-			fol.records[rec.Key] = rec
-		}
-		changed = append(changed, rec)
-	}
-	if !chs.Snapshot {
-		return changed
-	}
-	for key := range fol.records {
-		if !seen[key] {
-			delete(fol.records, key)
-			changed = append(changed, router.Record{Key: key, Version: chs.Version, Deleted: true})
-		}
-	}
-	return changed
-}
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -26,8 +26,9 @@
 	// copiesPath is the path below which a node serves its copies to peers.
 	copiesPath = "/v1/copies/"
 	// afterParam is the query parameter with the version after which a peer requests changes; 0
-	// requests a snapshot.
+	// requests a snapshot. eraParam is the query parameter with the era of that version.
 	afterParam = "After"
+	eraParam   = "Era"
 	// dialTimeout limits connecting to a peer, and fetchTimeout limits the whole fetch, which may
 	// go over a slow link.
 	dialTimeout  = time.Second
@@ -48,18 +49,19 @@
 	transport http.RoundTripper
 
 	mut sync.Mutex
-	// newestSeen is the newest version in the digests of all peers, and behindSince is when it
-	// became newer than the version of this node.
-	newestSeen  int64
+	// newestSeen is the newest position in the digests of all peers, and behindSince is when it
+	// became newer than that of this node.
+	newestSeen  follow.Position
 	behindSince time.Time
 	fetching    bool
 	lastFetch   time.Time
 
 	cacheMut sync.Mutex
-	// cache is the last encoded response: the changes after cacheAfter as of cacheVersion. It is
+	// cache is the last encoded response: the changes after cacheAfter as of cachePosition. It is
 	// nil before the first request.
-	cache                    []byte
-	cacheVersion, cacheAfter int64
+	cache         []byte
+	cachePosition follow.Position
+	cacheAfter    int64
 }
 
 // peerTransport connects to peers.
@@ -73,7 +75,7 @@
 // does not deliver. If there are none, the copies are as current as those of the sender.
 func (msh *Mesh) fetchNewerCopies(ctx context.Context, dig *wire.Digest) {
 	for _, cop := range msh.copiers {
-		newer := dig.GetVersions()[string(cop.kind)]
+		newer := follow.Position{Era: dig.GetEras()[string(cop.kind)], LastChange: dig.GetVersions()[string(cop.kind)]}
 		cop.follower.Confirm(newer, dig.GetConfirmedStoreMs(), time.Duration(dig.GetConfirmedAgeMs())*time.Millisecond)
 		sameDomain := dig.GetFailureDomain() == msh.options.Self.FailureDomain
 		if !cop.beginFetch(newer, sameDomain, msh.options.Timers.Now()) {
@@ -86,7 +88,7 @@
 				msh.options.Log.Info("copy not fetched", "Kind", cop.kind, "Peer", dig.GetNode(), "Error", err.Error())
 				return
 			}
-			msh.options.Log.Info("copy fetched from peer", "Kind", cop.kind, "Peer", dig.GetNode(), "Version", newer, "Records", num)
+			msh.options.Log.Info("copy fetched from peer", "Kind", cop.kind, "Peer", dig.GetNode(), "Era", newer.Era, "Version", newer.LastChange, "Records", num)
 		}()
 	}
 }
@@ -95,15 +97,17 @@
 // fetching. A node that uses peers or cannot reach the store fetches from peers in its failure domain
 // at once. In all other cases it must have been behind for maxLag, so that it fetches from other
 // failure domains only what its own does not have.
-func (cop *copier) beginFetch(newer int64, sameDomain bool, now time.Time) bool {
+func (cop *copier) beginFetch(newer follow.Position, sameDomain bool, now time.Time) bool {
 	cop.mut.Lock()
 	defer cop.mut.Unlock()
-	own := cop.follower.LastChange()
-	cop.newestSeen = max(cop.newestSeen, newer)
-	if own >= cop.newestSeen {
+	own := cop.follower.Position()
+	if cop.newestSeen.Before(newer) {
+		cop.newestSeen = newer
+	}
+	if !own.Before(cop.newestSeen) {
 		cop.behindSince = time.Time{}
 	}
-	if newer <= own {
+	if !own.Before(newer) {
 		return false
 	}
 	if cop.behindSince.IsZero() {
@@ -131,7 +135,9 @@
 	defer errs.Annotate(&err, "fetch copy")
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s%s?%s=%d", address, copiesPath, cop.kind, afterParam, cop.follower.LastChange()), nil)
+	own := cop.follower.Position()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
+		fmt.Sprintf("http://%s%s%s?%s=%d&%s=%d", address, copiesPath, cop.kind, afterParam, own.LastChange, eraParam, own.Era), nil)
 	if err != nil {
 		return 0, err
 	}
@@ -151,7 +157,7 @@
 	if err := proto.Unmarshal(txt, &msg); err != nil {
 		return 0, err
 	}
-	chs := router.Changes{Version: msg.GetVersion(), Snapshot: msg.GetWhole(), AfterOutage: msg.GetAfterOutage()}
+	chs := router.Changes{Era: msg.GetEra(), Version: msg.GetVersion(), Snapshot: msg.GetWhole(), AfterOutage: msg.GetAfterOutage()}
 	for _, rec := range msg.GetRecords() {
 		chs.Records = append(chs.Records, router.Record{Key: rec.GetKey(), Value: rec.GetValue(), Version: rec.GetVersion(), Deleted: rec.GetDeleted()})
 	}
@@ -169,7 +175,9 @@
 				http.Error(wri, err.Error(), http.StatusBadRequest)
 				return
 			}
-			txt, err := cop.encodeChanges(after)
+			// Nodes of earlier releases state no era.
+			era, _ := strconv.ParseInt(req.FormValue(eraParam), 10, 64)
+			txt, err := cop.encodeChanges(follow.Position{Era: era, LastChange: after})
 			if err != nil {
 				http.Error(wri, err.Error(), http.StatusInternalServerError)
 				return
@@ -185,18 +193,24 @@
 	return mux
 }
 
-// encodeChanges returns the changes after a version, marshalled and compressed. The result is
-// cached, because many peers request the same changes at once.
-func (cop *copier) encodeChanges(after int64) (txt []byte, err error) {
+// encodeChanges returns the changes after a position, marshalled and compressed: a snapshot if the position is of another era.
+// The result is cached, because many peers request the same changes at once.
+func (cop *copier) encodeChanges(pos follow.Position) (txt []byte, err error) {
 	defer errs.Annotate(&err, "encode changes")
 	cop.cacheMut.Lock()
 	defer cop.cacheMut.Unlock()
-	newest := cop.follower.LastChange()
-	if cop.cache != nil && cop.cacheVersion == newest && cop.cacheAfter == after {
+	newest, after := cop.follower.Position(), pos.LastChange
+	if pos.Era != newest.Era {
+		after = 0
+	}
+	if cop.cache != nil && cop.cachePosition == newest && cop.cacheAfter == after {
 		return cop.cache, nil
 	}
 	chs := cop.follower.ChangesSince(after)
-	msg := &wire.Copy{Version: chs.Version, Whole: chs.Snapshot, AfterOutage: chs.AfterOutage}
+	if chs.Era != newest.Era {
+		chs = cop.follower.Snapshot()
+	}
+	msg := &wire.Copy{Era: chs.Era, Version: chs.Version, Whole: chs.Snapshot, AfterOutage: chs.AfterOutage}
 	for _, rec := range chs.Records {
 		msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version, Deleted: rec.Deleted})
 	}
@@ -208,7 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cop.cache, cop.cacheVersion, cop.cacheAfter = txt, newest, after
+	cop.cache, cop.cachePosition, cop.cacheAfter = txt, newest, after
 	return txt, nil
 }
 
--- a/internal/router/mesh/current_test.go
+++ b/internal/router/mesh/current_test.go
@@ -165,7 +165,7 @@
 		nod.addCopies(dig)
 		nod.prepareDigest(dig)
 		if nod.outdated.Load() {
-			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs, dig.Reads = 0, 0, true
+			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs, dig.Reads, dig.Eras = 0, 0, true, nil
 		}
 		for _, oth := range dom.nodes {
 			if oth != nod && !nod.frozen.Load() && !oth.frozen.Load() && oth.acceptDigest(dig) {
@@ -216,6 +216,66 @@
 	}
 }
 
+// TestCopiesFollowRestoredStore guards against nodes that keep an old configuration after the store was restored from a copy,
+// because they compare its versions with those of before, in their copies or in the digests of peers. The change that is
+// written again, or after that, comes at different times after the restoration.
+func TestCopiesFollowRestoredStore(t *testing.T) {
+	const size, troubled = 5, 2
+	cases := map[string]struct {
+		trouble func(nod *domainNode)
+		// changes is the number of changes after the restoration; three were lost.
+		changes int
+	}{
+		"fewer changes":                    {trouble: func(*domainNode) {}, changes: 1},
+		"as many changes":                  {trouble: func(*domainNode) {}, changes: 3},
+		"more changes":                     {trouble: func(*domainNode) {}, changes: 5},
+		"readers get no answers":           {trouble: func(nod *domainNode) { nod.store.silent.Store(true) }, changes: 3},
+		"readers are frozen":               {trouble: func(nod *domainNode) { nod.frozen.Store(true); nod.store.silent.Store(true) }, changes: 3},
+		"readers are of an older release":  {trouble: func(nod *domainNode) { nod.outdated.Store(true) }, changes: 3},
+		"older readers do not notice this": {trouble: func(nod *domainNode) { nod.outdated.Store(true); nod.store.silent.Store(true) }, changes: 1},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			for step := range time.Duration(20) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					dom := newTestDomain(ctx, size)
+					time.Sleep(10 * time.Second)
+					bak := dom.store.Backup()
+					for num := range 3 {
+						dom.store.Set(router.Manifests, "config", []byte(fmt.Sprint("lost ", num)))
+					}
+					time.Sleep(5 * time.Second)
+					dom.store.SetError(router.ErrUnavailable)
+					time.Sleep(2 * time.Second)
+					dom.store.Restore(bak)
+					dom.store.SetError(nil)
+					for _, nod := range dom.nodes[:troubled] {
+						cas.trouble(nod)
+					}
+					time.Sleep(step * 200 * time.Millisecond)
+					last := ""
+					for num := range cas.changes {
+						last = fmt.Sprint("new ", num)
+						dom.store.Set(router.Manifests, "config", []byte(last))
+					}
+					time.Sleep(applyLimit)
+					for num, nod := range dom.nodes[troubled:] {
+						if nod.value.Load() != last {
+							t.Errorf("node %d has %q in place of %q %s after a change, made %s after the restoration",
+								troubled+num, nod.value.Load(), last, applyLimit, step*200*time.Millisecond)
+						}
+					}
+				})
+				if t.Failed() {
+					return
+				}
+			}
+		})
+	}
+}
+
 // TestFewNodesWatchTheStore guards against nodes that all call the store, because the confirmations of the readers come too late.
 func TestFewNodesWatchTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -53,18 +53,25 @@
 	}
 }
 
-// addCopies adds the state of the copies to a digest: their versions, and what is known of all of them.
+// addCopies adds the state of the copies to a digest: their eras and versions, and what is known of all of them. Times of the
+// store's clock are comparable only within an era.
 func (msh *Mesh) addCopies(dig *wire.Digest) {
 	dig.Reads = true
-	first := true
+	dig.Eras = make(map[string]int64, len(msh.options.Copies))
+	first, mixed := true, false
+	var era int64
 	for knd, fol := range msh.options.Copies {
-		dig.Versions[string(knd)] = fol.LastChange()
+		pos, storeMs, age := fol.Confirmed()
+		dig.Versions[string(knd)], dig.Eras[string(knd)] = pos.LastChange, pos.Era
 		dig.Reads = dig.Reads && fol.WatchesStore()
-		storeMs, age := fol.Confirmed()
+		mixed = mixed || !first && pos.Era != era
 		if first || storeMs < dig.ConfirmedStoreMs {
 			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs = storeMs, uint32(min(age.Milliseconds(), math.MaxUint32))
 		}
-		first = false
+		first, era = false, pos.Era
+	}
+	if mixed {
+		dig.ConfirmedStoreMs, dig.ConfirmedAgeMs = 0, 0
 	}
 }
 
