Ignore restored records that are older than what is known of upstreams

After the store came back from a copy, its records described upstreams as they were seconds before: one that was draining was ready again, and one that had left was listed. Nodes that took these records in sent new requests to them, until the upstreams had written their records again or the store had expired them.

Upstreams number what they write about themselves. Later records of the era are new writes and count as before.

--- a/internal/router/roster/doc.go
+++ b/internal/router/roster/doc.go
@@ -5,4 +5,8 @@
 // these records. An instance whose record is deleted or cannot be decoded is removed at once. One
 // whose record expired during an outage of the store is kept for a grace period first, in which a
 // live upstream writes its record again.
+//
+// A store that was restored from a copy lists upstreams as they were some seconds before. Of such records, a Roster ignores those
+// that are older by the upstream's own numbers than what it knows, so that no upstream that is draining or gone becomes
+// available again.
 package roster
--- a/internal/router/roster/roster.go
+++ b/internal/router/roster/roster.go
@@ -36,6 +36,10 @@
 
 	mut       sync.Mutex
 	instances map[string]router.Instance
+	// past holds instances that were removed a short time ago, by ID.
+	past map[string]pastInstance
+	// pendingReturns maps the ID of a past instance with a restored record to the function that cancels its return.
+	pendingReturns map[string]func()
 	// pendingRemovals maps the ID of an instance whose record is missing to the function that
 	// cancels its removal.
 	pendingRemovals map[string]func()
@@ -49,6 +53,8 @@
 	ros := &Roster{
 		options:         opt,
 		instances:       make(map[string]router.Instance),
+		past:            make(map[string]pastInstance),
+		pendingReturns:  make(map[string]func()),
 		pendingRemovals: make(map[string]func()),
 	}
 	ros.services.Store(&map[string][]router.Instance{})
@@ -61,7 +67,8 @@
 	return (*ros.services.Load())[service]
 }
 
-// Apply updates the roster from changed records. A deletion that is first received after an outage of
+// Apply updates the roster from changed records. Records of a restored store that are older than what was known of their upstreams
+// change nothing; the upstreams write newer ones. A deletion that is first received after an outage of
 // the store takes effect after missingGrace, since the record may have expired during the outage
 // although the upstream is alive.
 func (ros *Roster) Apply(upd follow.Update) {
@@ -72,7 +79,9 @@
 		ros.options.Log.Info("upstreams changed", "Records", len(upd.Changed))
 	}
 	for _, rec := range upd.Changed {
+		ros.cancelReturn(rec.Key)
 		switch {
+		case upd.Restored && !rec.Deleted && ros.isOutdated(rec):
 		case rec.Deleted && upd.StoreRecovered:
 			ros.removeLater(rec.Key)
 		case rec.Deleted:
@@ -140,6 +149,7 @@
 		return
 	}
 	delete(ros.instances, id)
+	ros.rememberPast(ins)
 	ros.options.Log.Info("upstream gone", "Upstream", id, "Service", ins.Service, "Reason", reason)
 	ros.options.OnRemove(ins)
 }
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -147,6 +147,8 @@
 	Draining      bool
 	// Born is the Unix time of the start in milliseconds; a restart keeps the ID and changes Born.
 	Born int64
+	// Sequence numbers what the incarnation wrote about itself; it grows.
+	Sequence int64
 }
 
 // Same reports whether ins and oth are the same run of an upstream, at the same address and for the
