Write own records again after the store was restored

A store that came back from a copy lacked the records of nodes that had started since the copy was made. Nodes read the list once in one to two minutes and wrote their record only then.

Cause: the versions of own records were kept across eras, and nothing noticed the new era. Nodes read the member list within 2.5 s of a later era in their copies and write their record if it is missing or another node's of the same name. Versions of the era before are forgotten; a removal that names one fails.

--- a/internal/fakes/recordstore.go
+++ b/internal/fakes/recordstore.go
@@ -190,12 +190,12 @@
 }
 
 // Deregister removes the record of a node, or returns router.ErrCondition if it has another
-// version.
-func (sto *RecordStore) Deregister(_ context.Context, name string, version int64) (err error) {
+// version or the era is over.
+func (sto *RecordStore) Deregister(_ context.Context, name string, era, version int64) (err error) {
 	sto.mut.Lock()
-	rec := sto.records[router.Members][name]
+	rec, now := sto.records[router.Members][name], sto.era
 	sto.mut.Unlock()
-	if rec.Version != version {
+	if rec.Version != version || era != now {
 		return router.ErrCondition
 	}
 	sto.Set(router.Members, name, nil)
--- a/internal/router/mesh/members.go
+++ b/internal/router/mesh/members.go
@@ -18,6 +18,10 @@
 	// memberReadInterval is how often the member list is read again, with as much jitter again. New
 	// nodes need not wait for it, because they send digests to all listed nodes.
 	memberReadInterval = time.Minute
+	// eraCheckInterval is how often a node checks whether the store was restored, and restoredReadSpread bounds the random time
+	// after which it reads the member list again then.
+	eraCheckInterval   = 500 * time.Millisecond
+	restoredReadSpread = 2 * time.Second
 	// memberRetryPause is the pause after a failure to register or to read the member list.
 	memberRetryPause = time.Second
 	// deregisterTimeout bounds the removal of this node's record when it stops. The store responds
@@ -42,7 +46,7 @@
 			continue
 		}
 		for ctx.Err() == nil && msh.isRegistered() {
-			timer.Sleep(ctx, memberReadInterval+rand.N(memberReadInterval))
+			msh.awaitMemberRead(ctx)
 			if err := msh.readMembers(ctx); err != nil {
 				msh.options.Log.Info("list of nodes not read", "Error", err.Error())
 				continue
@@ -52,6 +56,29 @@
 	}
 }
 
+// awaitMemberRead waits until the member list is to be read again: after its usual time, or a short time after the store was
+// restored from a copy, which may lack the records of nodes.
+func (msh *Mesh) awaitMemberRead(ctx context.Context) {
+	for left := memberReadInterval + rand.N(memberReadInterval); left > 0 && ctx.Err() == nil; left -= eraCheckInterval {
+		timer.Sleep(ctx, min(left, eraCheckInterval))
+		if msh.isRestored() {
+			timer.Sleep(ctx, rand.N(restoredReadSpread))
+			return
+		}
+	}
+}
+
+// isRestored reports whether a copy is of a later era than the member list.
+func (msh *Mesh) isRestored() bool {
+	era := int64(0)
+	for _, cop := range msh.copiers {
+		era = max(era, cop.follower.Position().Era)
+	}
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	return msh.membersRead && era > msh.membersEra
+}
+
 func (msh *Mesh) isStopping() bool {
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
@@ -77,14 +104,14 @@
 // member.
 func (msh *Mesh) Deregister(ctx context.Context) {
 	msh.mut.Lock()
-	version := msh.recordVersion
+	era, version := msh.membersEra, msh.recordVersion
 	msh.mut.Unlock()
 	if version == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
-	if err := msh.options.Source.Deregister(ctx, msh.options.Self.Name, version); err != nil {
+	if err := msh.options.Source.Deregister(ctx, msh.options.Self.Name, era, version); err != nil {
 		msh.options.Log.Info("node record not removed", "Peer", msh.options.Self.Name, "Version", version, "Error", err.Error())
 	}
 }
@@ -92,45 +119,54 @@
 // removeDeadRecords removes the records of nodes that have been silent for deadRecordTTL. Only one
 // live node does so.
 func (msh *Mesh) removeDeadRecords(ctx context.Context) {
-	for name, version := range msh.deadRecords() {
-		err := msh.options.Source.Deregister(ctx, name, version)
+	for name, ver := range msh.deadRecords() {
+		err := msh.options.Source.Deregister(ctx, name, ver.era, ver.version)
 		if err != nil {
-			msh.options.Log.Info("node record not removed", "Peer", name, "Version", version, "Error", err.Error())
+			msh.options.Log.Info("node record not removed", "Peer", name, "Version", ver.version, "Error", err.Error())
 			continue
 		}
-		msh.options.Log.Info("node record removed", "Peer", name, "Version", version, "Silence", deadRecordTTL.String())
+		msh.options.Log.Info("node record removed", "Peer", name, "Version", ver.version, "Silence", deadRecordTTL.String())
 	}
 }
 
+// recordVersion is the store's version of a record.
+type recordVersion struct{ era, version int64 }
+
 // deadRecords returns the versions of the records to remove, by node name. It is empty on all live
 // nodes but the first one by the hash of the name.
-func (msh *Mesh) deadRecords() (versions map[string]int64) {
+func (msh *Mesh) deadRecords() (versions map[string]recordVersion) {
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
 	now := msh.options.Timers.Now()
 	own := xxhash.Sum64String(msh.options.Self.Name)
-	versions = make(map[string]int64)
+	versions = make(map[string]recordVersion)
 	for name, per := range msh.peers {
 		if per.live && xxhash.Sum64String(name) < own {
 			return nil
 		}
 		last := slices.MaxFunc([]time.Time{per.recordSeen, per.lastDigest}, time.Time.Compare)
 		if !per.live && per.recordVersion > 0 && now.Sub(last) > deadRecordTTL {
-			versions[name] = per.recordVersion
+			versions[name] = recordVersion{era: msh.membersEra, version: per.recordVersion}
 		}
 	}
 	return versions
 }
 
 // mergeMembers updates the peers from the member list. Peers that are neither listed nor live are
-// removed.
+// removed. A list of an earlier era is ignored.
 func (msh *Mesh) mergeMembers(chs router.Changes) {
+	if !msh.enterMembersEra(chs.Era) {
+		return
+	}
 	own := int64(0)
 	listed := make(map[string]bool)
 	for _, rec := range chs.Records {
 		mem, err := msh.options.Codec.Member(rec)
 		if err == nil && mem.Name == msh.options.Self.Name {
-			own = rec.Version
+			// A restored record may be that of an earlier node of the same name.
+			if mem == msh.options.Self {
+				own = rec.Version
+			}
 			continue
 		}
 		if err == nil {
@@ -153,6 +189,19 @@
 	}
 }
 
+// enterMembersEra forgets the versions of member records when an era begins; ok is false for an era before.
+func (msh *Mesh) enterMembersEra(era int64) (ok bool) {
+	msh.mut.Lock()
+	defer msh.mut.Unlock()
+	if era > msh.membersEra {
+		msh.membersEra, msh.recordVersion = era, 0
+		for _, per := range msh.peers {
+			per.recordVersion = 0
+		}
+	}
+	return era == msh.membersEra
+}
+
 // addMember adds a listed node or updates its record. The address of a live node is kept, because
 // it comes from its digests.
 func (msh *Mesh) addMember(mem router.Member, version int64) (err error) {
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +17,7 @@
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
@@ -29,6 +33,16 @@
 	}), tms
 }
 
+// newMeshWithCopies returns a node in real time with a copy of the store's manifests.
+func newMeshWithCopies(name string, src *fakes.RecordStore) (msh *Mesh, copies *follow.Follower) {
+	copies = follow.New(follow.Options{Source: src, Kind: router.Manifests, Log: slog.New(slog.DiscardHandler), Apply: func(follow.Update) {}})
+	return New(Options{
+		Self:   router.Member{Name: name, Address: "127.0.0.1:1", FailureDomain: "domain"},
+		Timers: timer.Real{}, Log: slog.New(slog.DiscardHandler), Source: src, Codec: fakes.Codec{}, Load: emptyLoad{},
+		Copies: map[router.RecordKind]*follow.Follower{router.Manifests: copies},
+	}), copies
+}
+
 // memberNames returns the names in the member list, sorted.
 func memberNames(t *testing.T, src *fakes.RecordStore) (names []string) {
 	t.Helper()
@@ -352,3 +366,47 @@
 		}
 	}
 }
+
+// TestMembersOfRestoredStore guards against a node whose record the store lost when it was restored from a copy, and that does not
+// write it again, and against the removal of a record that has the version which another one had before.
+func TestMembersOfRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		src := fakes.NewRecordStore()
+		bak := src.Backup()
+		msh, copies := newMeshWithCopies("one", src)
+		go msh.maintainMembership(ctx)
+		if err := src.Register(ctx, router.Member{Name: "dead", Address: "127.0.0.1:2", FailureDomain: "domain"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(deadRecordTTL / 2)
+		chs, err := src.Read(ctx, router.Members)
+		if err != nil || len(chs.Records) != 2 {
+			t.Fatalf("member list %+v, %v", chs, err)
+		}
+		src.Restore(bak)
+		restored, err := src.Read(ctx, router.Manifests)
+		if err != nil {
+			t.Fatal(err)
+		}
+		copies.MergePeer(router.Changes{Era: restored.Era, Version: 1, Snapshot: true})
+		time.Sleep(10 * time.Second)
+		if got := memberNames(t, src); len(got) != 1 || got[0] != "one" {
+			t.Errorf("member list %v 10 s after the restoration", got)
+		}
+		// The dead node starts again in this era, and its record has the version of before.
+		if err := src.Register(ctx, router.Member{Name: "dead", Address: "127.0.0.1:2", FailureDomain: "domain"}); err != nil {
+			t.Fatal(err)
+		}
+		for _, rec := range chs.Records {
+			if err := src.Deregister(ctx, rec.Key, chs.Era, rec.Version); !errors.Is(err, router.ErrCondition) {
+				t.Errorf("removal of %s with a version of the era before: %v", rec.Key, err)
+			}
+		}
+		time.Sleep(deadRecordTTL * 3 / 4)
+		if got := memberNames(t, src); len(got) != 2 {
+			t.Errorf("member list %v; a record was removed by the time of the era before", got)
+		}
+	})
+}
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -134,6 +134,8 @@
 	stopping bool
 	// membersRead is set once the member list was read.
 	membersRead bool
+	// membersEra is the era of the versions of member records.
+	membersEra int64
 	// recordVersion is the store's version of this node's member record; zero while it has none.
 	recordVersion int64
 	// recentPlacements holds the placements of the last digests. A peer that gets every second or
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -290,9 +290,9 @@
 	Watch(ctx context.Context, cal WatchCall) (chs Changes, err error)
 	// Register writes this node's member record, or returns ErrUnavailable.
 	Register(ctx context.Context, mem Member) (err error)
-	// Deregister removes a node's member record if it still has the version, or returns ErrCondition
+	// Deregister removes a node's member record if it still has the version of an era, or returns ErrCondition
 	// or ErrUnavailable.
-	Deregister(ctx context.Context, name string, version int64) (err error)
+	Deregister(ctx context.Context, name string, era, version int64) (err error)
 }
 
 // Member is a router node as listed in the platform's store.
