Accept no rejection without a request on a reused connection

Reported by operators of similar systems: a faulty upstream sends an earlier rejection once more on a kept connection, and callers are told that a request was not run which runs, or it runs at a second upstream. A repetition that names the earlier request was dropped here already. One that names no request was taken for the answer to the request under way: its caller got 503, or the request went to another upstream although it may run only once.

A rejection that names no request counts only as the first answer on its connection.

TestRepeatedRejectionIsNoAnswer failed before in three cases.

--- a/internal/fakes/dialect.go
+++ b/internal/fakes/dialect.go
@@ -63,10 +63,11 @@
 // CheckAnswer checks the header of an upstream's answer.
 func (Dialect) CheckAnswer(cal *router.Call, rsp *http.Response) (chk router.AnswerCheck) {
 	chk = router.AnswerCheck{
-		Mismatched: rsp.Header.Get(HeaderID) != cal.ID,
-		NotRun:     rsp.Header.Get(HeaderNotRun) != "",
-		Relayable:  rsp.Header.Get(HeaderSigned) != "",
+		Unidentified: rsp.Header.Get(HeaderID) == "",
+		NotRun:       rsp.Header.Get(HeaderNotRun) != "",
+		Relayable:    rsp.Header.Get(HeaderSigned) != "",
 	}
+	chk.Mismatched = rsp.Header.Get(HeaderID) != cal.ID && !(chk.Unidentified && chk.NotRun)
 	chk.Terms.RateLimit, _ = strconv.ParseFloat(rsp.Header.Get(HeaderRateLimit), 64)
 	if sec, err := strconv.ParseFloat(rsp.Header.Get("Retry-After"), 64); err == nil {
 		chk.Terms.RetryAfter = time.Duration(sec * float64(time.Second))
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -333,6 +333,8 @@
 		return act.failAttempt(ctx, "no answer", ins, err)
 	}
 	chk := opt.Dialect.CheckAnswer(cal, rsp)
+	// A rejection that names no request may be a repetition of an earlier one on the connection.
+	chk.Mismatched = chk.Mismatched || chk.Unidentified && con.Reused
 	if !chk.Mismatched {
 		opt.Terms.Observe(ins, chk.Terms, sent)
 	}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -208,6 +208,8 @@
 type AnswerCheck struct {
 	// Mismatched is set when the answer belongs to another request.
 	Mismatched bool
+	// Unidentified is set when the answer does not say to which request it belongs.
+	Unidentified bool
 	// NotRun is set when the upstream states that it did not execute the call.
 	NotRun bool
 	// Relayable is set when the answer may be forwarded to the caller.
