Check that a resumed stream continues after its last event

Reported by operators of similar systems: a stream broke off, the next upstream answered with an error, and callers found the error's text or head in the middle of their stream, or a stream that ended as if it were complete. An error status was not relayed here before either. But the first bytes of a resumed answer with status 200 were relayed unseen: an error that is written as the body of a stream without a length, and a stream from its start, whose first events came twice.

The first event of a resumed answer must have an id, a higher one if both are numbers; otherwise the attempt has failed. A stream that is not continued ends with its connection, not with its last chunk.

--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -128,6 +128,7 @@
 // resume after the last one.
 func (act *activeCall) relayStream(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response, rsv *place.Reservation) (attemptState, place.Result) {
 	buf := make([]byte, 0, initialEventBuffer)
+	resumed := act.responseStarted
 	for {
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
@@ -135,6 +136,11 @@
 		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+num]
 		if end := lastEventEnd(buf); end > 0 {
+			if resumed && !continuesAfter(buf[:end], act.lastEventID) {
+				con.Close()
+				return act.failAttempt(ctx, "stream not continued", ins, errors.Errorf("no event after %q", act.lastEventID))
+			}
+			resumed = false
 			rsv.ObserveEvent()
 			if werr := act.writeEvents(buf[:end], rsp); werr != nil {
 				con.Close()
@@ -203,6 +209,24 @@
 	return 0
 }
 
+// continuesAfter reports whether complete events may follow the event with the given id: the first of them has an id, which is
+// higher if both are numbers. Anything else is the stream from its start or no stream at all.
+func continuesAfter(txt []byte, last string) bool {
+	first := txt
+	for _, sep := range []string{"\n\n", "\n\r\n"} {
+		if pos := bytes.Index(first, []byte(sep)); pos >= 0 {
+			first = first[:pos+len(sep)]
+		}
+	}
+	id := findLastEventID(first)
+	num, err := strconv.ParseInt(id, 10, 64)
+	lastNum, lastErr := strconv.ParseInt(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != "" && id != last
+	}
+	return num > lastNum
+}
+
 // findLastEventID returns the id of the last event that has one, or an empty string.
 func findLastEventID(txt []byte) string {
 	pos := bytes.LastIndex(txt, []byte("\nid:"))
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -187,6 +187,31 @@
 			[]string{events + oneTwo + fakes.ThenClose, failed},
 			200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
 		},
+		"stream resumed at an upstream that responds with its error as a stream": {
+			router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2},
+			[]string{events + oneTwo + fakes.ThenClose, head + "\r\nHTTP/1.1 500 Error\r\nStand-Signed: 1\r\n\r\nno\n\n" + fakes.ThenClose},
+			200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
+		},
+		"stream resumed at an upstream that responds with text": {
+			router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2},
+			[]string{events + oneTwo + fakes.ThenClose, head + "Content-Length: 9\r\n\r\nerror: 7\n"},
+			200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
+		},
+		"stream resumed at an upstream that begins anew": {
+			router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2},
+			[]string{events + oneTwo + fakes.ThenClose, events + oneTwo + three + last},
+			200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
+		},
+		"stream resumed at an upstream without a signature": {
+			router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2},
+			[]string{events + oneTwo + fakes.ThenClose, "HTTP/1.1 200 OK\r\nStand-Id: {ID}\r\nTransfer-Encoding: chunked\r\n\r\n" + three + last},
+			200, "id: 1\na\n\nid: 2\nb\n\n", true, 2,
+		},
+		"stream resumed after an error": {
+			router.Route{Stream: true, Repeat: router.Resumable, Attempts: 3},
+			[]string{events + oneTwo + fakes.ThenClose, failed, events + three + last},
+			200, "id: 1\na\n\nid: 2\nb\n\nid: 3\nc\n\n", false, 3,
+		},
 		"stream that ends inside an event": {router.Route{Stream: true}, []string{events + oneTwo + half + last}, 200, "id: 1\na\n\nid: 2\nb\n\n", true, 1},
 		"stream cut before its first event": {
 			router.Route{Stream: true, Repeat: router.Resumable, Attempts: 2},
@@ -198,7 +223,7 @@
 		t.Run(name, func(t *testing.T) {
 			// The responses are used in the order of the requests, whichever upstream is chosen.
 			que := &responseQueue{responses: cas.responses}
-			scrs := que.upstreams(t, 2)
+			scrs := que.upstreams(t, 3)
 			rec, rep, aborted := serve(t, cas.route, scrs...)
 			body := rec.Body.String()
 			if cas.body == "" && cas.status >= 500 {
