Restore the store and state a rate limit in the soak test

The soak test had no store that comes back from a copy and no upstream with a rate limit. Each run now restores the store once, after which the operator and the upstreams write again what it lost, and counts at the end what reaches an upstream that states a limit. The draws of the other faults stay as they were.

The hash that chooses owners is taken from the library in place of a second copy of a mixing function.

--- a/internal/router/mesh/owners.go
+++ b/internal/router/mesh/owners.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"encoding/binary"
 	"net"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,7 +18,7 @@
 	var bestLocal bool
 	var bestHash uint64
 	consider := func(name string, nameHash uint64, local bool) {
-		hash := mixHash(nameHash ^ upstream)
+		hash := ownerHash(nameHash, upstream)
 		if node == "" || local && !bestLocal || local == bestLocal && hash > bestHash {
 			node, bestLocal, bestHash = name, local, hash
 		}
@@ -37,13 +38,12 @@
 	return node, node == own.Name
 }
 
-// mixHash spreads the bits of a hash; it is the finalizer of splitmix64.
-func mixHash(val uint64) uint64 {
-	val ^= val >> 30
-	val *= 0xbf58476d1ce4e5b9
-	val ^= val >> 27
-	val *= 0x94d049bb133111eb
-	return val ^ val>>31
+// ownerHash returns the hash by which the owner of an upstream's limit is chosen among nodes.
+func ownerHash(nameHash, upstream uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], nameHash)
+	binary.LittleEndian.PutUint64(buf[8:], upstream)
+	return xxhash.Sum64(buf[:])
 }
 
 // Share returns the part of a limit of the whole fleet that the live nodes which grant permits may use together. The rest
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
-	"github.com/hornbeamdyke/hornbeamdyke/platform/mock"
 )
 
 // faultKind is a kind of fault.
@@ -70,7 +70,7 @@
 		return nil
 	}},
 	{"Config", func(har *harness) func() {
-		har.store.Set("op", "config", mock.Config(har.version.Add(1)))
+		har.publishConfig(true)
 		return nil
 	}},
 }
@@ -93,6 +93,24 @@
 	}
 }
 
+// restoreStore restores the store once from a copy that is up to maxFaultDuration old. The operator and the upstreams write again
+// what it lost. The random draws are apart from those of the other faults, which stay the same for a seed.
+func (har *harness) restoreStore(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(har.options.Seed, 2))
+	timer.Sleep(ctx, time.Duration(rnd.Int64N(int64(har.options.Faults))))
+	bak := har.store.Backup()
+	timer.Sleep(ctx, time.Duration(rnd.Int64N(int64(maxFaultDuration))))
+	har.store.Restore(bak)
+	har.mut.Lock()
+	har.faults["Restore"]++
+	har.mut.Unlock()
+	timer.Sleep(ctx, time.Duration(rnd.Int64N(int64(maxFaultInterval))))
+	har.publishConfig(false)
+	for _, ups := range har.upstreams {
+		har.publishRecord(ups)
+	}
+}
+
 // randomDuration returns a random duration below the limit.
 func randomDuration(har *harness, limit time.Duration) time.Duration {
 	return time.Duration(har.rnd.Int64N(int64(limit)))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,12 @@
 	// maxDrainDelay is how long an upstream may get new requests after its record marks it as
 	// draining.
 	maxDrainDelay = 3 * time.Second
+	// limitTime is how long requests are counted at an upstream with a rate limit of statedLimit requests per second, from
+	// limitLearnTime after it first states the limit. It may get half as many again and limitSlack.
+	limitTime      = 4 * time.Second
+	limitLearnTime = time.Second
+	statedLimit    = 5.0
+	limitSlack     = 5
 	// startTimeout is the time within which a started node must answer requests.
 	startTimeout = 20 * time.Second
 	// The time between the starts of two faults.
@@ -75,8 +81,9 @@
 	upstreams []*upstream
 	nodes     []*node
 	callers   *callers
-	// version is the version of the newest configuration in the store.
-	version atomic.Int64
+	// version is the version of the newest configuration; configMut orders the writes of configurations.
+	version   atomic.Int64
+	configMut sync.Mutex
 
 	mut sync.Mutex
 	// faults counts the injected faults by kind.
@@ -95,6 +102,8 @@
 	// born is the start time in the upstream's record, which distinguishes its incarnations.
 	born     int64
 	draining bool
+	// sequence is the number of the last record.
+	sequence int64
 }
 
 // Run runs the test with one seed. The error states why it could not run; violations are in the
@@ -109,6 +118,7 @@
 	}
 	har.callers = newCallers(har, opt.Callers)
 	har.callers.start(ctx)
+	har.activeFaults.Go(func() { har.restoreStore(ctx) })
 	har.injectFaults(ctx)
 	har.activeFaults.Wait()
 	timer.Sleep(ctx, recoveryTime)
@@ -116,6 +126,7 @@
 	timer.Sleep(ctx, calmTime)
 	har.checkDrain(ctx)
 	har.checkConfig(ctx)
+	har.checkRateLimit(ctx)
 	har.callers.stop()
 	har.callers.check()
 	return har.report(), nil
@@ -162,8 +173,7 @@
 		return stop, err
 	}
 	stops = append(stops, end)
-	har.version.Store(1)
-	har.store.Set("op", "config", mock.Config(1))
+	har.publishConfig(true)
 	for num := range har.options.Upstreams {
 		ups := &upstream{Upstream: mock.NewUpstream(fmt.Sprintf("u-%d", num)), born: 1}
 		back, end, err := serveLocal(ups.Upstream)
@@ -222,7 +232,20 @@
 func (har *harness) publishRecord(ups *upstream) {
 	ups.mut.Lock()
 	defer ups.mut.Unlock()
-	har.store.Set("servers", ups.ID, mock.ServerRecord(ups.proxy.Address(), "here", ups.draining, ups.born))
+	ups.sequence++
+	har.store.Set("servers", ups.ID, mock.ServerRecord(ups.proxy.Address(), "here", ups.draining, ups.born, ups.sequence))
+}
+
+// publishConfig writes the newest configuration, or the next one.
+func (har *harness) publishConfig(next bool) (version int64) {
+	har.configMut.Lock()
+	defer har.configMut.Unlock()
+	if next {
+		har.version.Add(1)
+	}
+	version = har.version.Load()
+	har.store.Set("op", "config", mock.Config(version))
+	return version
 }
 
 // checkDrain marks an upstream as draining; no request may reach it later than maxDrainDelay.
@@ -242,8 +265,7 @@
 // checkConfig writes a new configuration. After maxDrainDelay, every node must serve the route that
 // it adds and no longer serve the one that it removes.
 func (har *harness) checkConfig(ctx context.Context) {
-	ver := har.version.Add(1)
-	har.store.Set("op", "config", mock.Config(ver))
+	ver := har.publishConfig(true)
 	timer.Sleep(ctx, maxDrainDelay)
 	for _, nod := range har.nodes {
 		if sta := har.requestStatus(nod, fmt.Sprintf("v%d", ver), "new-"+nod.name); sta != http.StatusOK {
@@ -254,3 +276,17 @@
 		}
 	}
 }
+
+// checkRateLimit lets an upstream state a rate limit, which all nodes together must keep.
+func (har *harness) checkRateLimit(ctx context.Context) {
+	ups := har.upstreams[len(har.upstreams)-1]
+	ups.SetRateLimit(statedLimit)
+	timer.Sleep(ctx, limitLearnTime)
+	since := time.Now()
+	timer.Sleep(ctx, limitTime)
+	num, most := ups.ArrivedSince(since), 1.5*statedLimit*limitTime.Seconds()+limitSlack
+	if float64(num) > most || num == 0 {
+		har.addViolation("Limit: %d requests reached %s in %s at a limit of %g a second", num, ups.ID, limitTime, statedLimit)
+	}
+	ups.SetRateLimit(0)
+}
