--- a/internal/fakes/dialect.go
+++ b/internal/fakes/dialect.go
@@ -67,7 +67,7 @@
 		NotRun:       rsp.Header.Get(HeaderNotRun) != "",
 		Relayable:    rsp.Header.Get(HeaderSigned) != "",
 	}
-	chk.Mismatched = rsp.Header.Get(HeaderID) != cal.ID && !(chk.Unidentified && chk.NotRun)
+	chk.Mismatched = rsp.Header.Get(HeaderID) != cal.ID && (!chk.Unidentified || !chk.NotRun)
 	chk.Terms.RateLimit, _ = strconv.ParseFloat(rsp.Header.Get(HeaderRateLimit), 64)
 	if sec, err := strconv.ParseFloat(rsp.Header.Get("Retry-After"), 64); err == nil {
 		chk.Terms.RetryAfter = time.Duration(sec * float64(time.Second))
