Do not take one lost datagram for an owner that is gone

Found by reading: one request for a permit without an answer kept the node from asking that owner for half a second, for all upstreams that it owns, and a caller that left before the answer came had the same effect on its upstream. Limits stayed unused on links that lose packets.

An owner is left alone only after two requests in a row without an answer, and a call that has ended says nothing about it. A call that found an upstream in the end also no longer keeps the reason of a try before as its own.

TestOwnerThatDoesNotAnswer guards against it; it does not compile on the code before, which was not tried otherwise.

--- a/internal/router/permit/permit.go
+++ b/internal/router/permit/permit.go
@@ -16,8 +16,11 @@
 const (
 	// answerTimeout is how long the answer of an owner may take; it is several round trips between regions.
 	answerTimeout = 250 * time.Millisecond
-	// silencePause is how long an owner that did not answer is not asked again.
+	// silencePause is how long an owner is not asked again that did not answer maxMissed requests in a row.
 	silencePause = 500 * time.Millisecond
+	maxMissed    = 2
+	// missedPause is how long the upstream counts as without free permits after one request that was not answered.
+	missedPause = 100 * time.Millisecond
 	// foreignDelay is the delay told to a node that takes this one for the owner: by then the next digests have arrived.
 	foreignDelay = 200 * time.Millisecond
 	// minRate is the lowest rate at which permits are spaced, in requests per second.
@@ -56,8 +59,16 @@
 	answers map[uint64]chan *wire.PermitAnswer
 	// freeAt holds when a permit will be free, by the hash of the upstream, as its owner told.
 	freeAt map[uint64]time.Time
-	// silentUntil holds until when an owner that did not answer is not asked.
-	silentUntil map[string]time.Time
+	// silent holds the owners that did not answer the last request.
+	silent map[string]silence
+}
+
+// silence is the silence of an owner.
+type silence struct {
+	// missed counts the requests without an answer since the last answer.
+	missed int
+	// until is until when the owner is not asked.
+	until time.Time
 }
 
 // New returns a Service, which needs a fleet by Join before it is used.
@@ -65,7 +76,7 @@
 	return &Service{
 		timers: tms, log: log,
 		buckets: make(map[uint64]*bucket), answers: make(map[uint64]chan *wire.PermitAnswer),
-		freeAt: make(map[uint64]time.Time), silentUntil: make(map[string]time.Time),
+		freeAt: make(map[uint64]time.Time), silent: make(map[string]silence),
 	}
 }
 
@@ -86,7 +97,8 @@
 	}
 	ans := svc.request(ctx, req)
 	ver = Verdict{Granted: ans.GetGranted(), Delay: time.Duration(ans.GetDelayMs()) * time.Millisecond}
-	if !ver.Granted {
+	// The answer to a call that has ended may be missing for that reason.
+	if !ver.Granted && ctx.Err() == nil {
 		svc.mut.Lock()
 		svc.freeAt[upstream] = svc.timers.Now().Add(ver.Delay)
 		svc.mut.Unlock()
@@ -111,7 +123,7 @@
 	if self {
 		return svc.Grant(req)
 	}
-	if delay := svc.silence(owner); delay > 0 {
+	if delay := svc.silentFor(owner); delay > 0 {
 		return denial(delay)
 	}
 	req.Id = svc.lastID.Add(1)
@@ -129,31 +141,45 @@
 	defer cancel()
 	select {
 	case ans = <-chn:
+		svc.recordAnswer(owner)
 		return ans
 	case <-limited.Done():
 	}
 	if ctx.Err() == nil {
 		svc.recordSilence(owner)
 	}
-	return denial(silencePause)
+	return denial(missedPause)
 }
 
 func denial(delay time.Duration) *wire.PermitAnswer {
 	return &wire.PermitAnswer{DelayMs: uint32(delay.Milliseconds())}
 }
 
-// silence returns how long an owner is not asked because it did not answer.
-func (svc *Service) silence(owner string) time.Duration {
+// silentFor returns how long an owner is not asked because it did not answer.
+func (svc *Service) silentFor(owner string) time.Duration {
 	svc.mut.Lock()
 	defer svc.mut.Unlock()
-	return max(0, svc.silentUntil[owner].Sub(svc.timers.Now()))
+	return max(0, svc.silent[owner].until.Sub(svc.timers.Now()))
 }
 
+func (svc *Service) recordAnswer(owner string) {
+	svc.mut.Lock()
+	defer svc.mut.Unlock()
+	delete(svc.silent, owner)
+}
+
+// recordSilence records a request without an answer. A single datagram may be lost; an owner that misses maxMissed requests in a
+// row is not asked for silencePause.
 func (svc *Service) recordSilence(owner string) {
 	svc.mut.Lock()
-	svc.silentUntil[owner] = svc.timers.Now().Add(silencePause)
+	sil := svc.silent[owner]
+	sil.missed++
+	if sil.missed >= maxMissed {
+		sil.until = svc.timers.Now().Add(silencePause)
+	}
+	svc.silent[owner] = sil
 	svc.mut.Unlock()
-	svc.log.Info("permit not answered", "Peer", owner)
+	svc.log.Info("permit not answered", "Peer", owner, "Missed", sil.missed)
 }
 
 // Deliver passes an answer to the request that waits for it; a late one is dropped.
--- a/internal/router/permit/permit_test.go
+++ b/internal/router/permit/permit_test.go
@@ -266,3 +266,85 @@
 		}
 	}
 }
+
+// muteFleet is a fleet whose other node owns all limits and answers as many requests as it is told to.
+type muteFleet struct {
+	service *Service
+	answers int
+	asked   int
+}
+
+func (*muteFleet) Owner(uint64, string) (node string, self bool) { return "other", false }
+
+func (*muteFleet) Share() float64 { return 1 }
+
+func (mut *muteFleet) SendPermitRequest(_ string, req *wire.PermitRequest) {
+	mut.asked++
+	if mut.answers > 0 {
+		mut.answers--
+		mut.service.Deliver(&wire.PermitAnswer{Id: req.GetId(), Granted: true})
+	}
+}
+
+// TestOwnerThatDoesNotAnswer guards against calls that each wait for an owner which is gone, and against limits that stay unused
+// because one datagram was lost or because a caller left before the answer came.
+func TestOwnerThatDoesNotAnswer(t *testing.T) {
+	one, two := router.Instance{ID: "one"}, router.Instance{ID: "two"}
+	cases := map[string]struct {
+		play  func(ctx context.Context, svc *Service, flt *muteFleet)
+		asked int
+	}{
+		"one lost answer does not silence the owner": {
+			play: func(ctx context.Context, svc *Service, flt *muteFleet) {
+				svc.Ask(ctx, one, 1, 0)
+				flt.answers = 1
+				svc.Ask(ctx, two, 1, 0)
+			},
+			asked: 2,
+		},
+		"two lost answers in a row do": {
+			play: func(ctx context.Context, svc *Service, _ *muteFleet) {
+				for range 5 {
+					svc.Ask(ctx, one, 1, missedPause)
+					svc.Ask(ctx, two, 1, missedPause)
+				}
+			},
+			asked: 2,
+		},
+		"the owner is asked again after a pause": {
+			play: func(ctx context.Context, svc *Service, flt *muteFleet) {
+				svc.Ask(ctx, one, 1, 0)
+				svc.Ask(ctx, two, 1, 0)
+				time.Sleep(silencePause + time.Millisecond)
+				flt.answers = 1
+				svc.Ask(ctx, one, 1, 0)
+			},
+			asked: 3,
+		},
+		"a caller that leaves says nothing about the owner": {
+			play: func(ctx context.Context, svc *Service, flt *muteFleet) {
+				for range 3 {
+					short, cancel := context.WithTimeout(ctx, answerTimeout/2)
+					svc.Ask(short, one, 1, 0)
+					cancel()
+				}
+				flt.answers = 1
+				svc.Ask(ctx, one, 1, 0)
+			},
+			asked: 4,
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				svc := New(timer.Real{}, slog.New(slog.DiscardHandler))
+				flt := &muteFleet{service: svc}
+				svc.Join(flt)
+				cas.play(t.Context(), svc, flt)
+				if flt.asked != cas.asked {
+					t.Errorf("the owner was asked %d times, want %d", flt.asked, cas.asked)
+				}
+			})
+		})
+	}
+}
--- a/internal/router/send/choose.go
+++ b/internal/router/send/choose.go
@@ -40,22 +40,20 @@
 	if !act.sender.options.Terms.AnyLimited() {
 		return act.propose(list, func(router.Instance) bool { return false })
 	}
+	reason := act.reason
 	ins, rsv, ok = act.chooseAtOnce(ctx, list)
-	if ok && !rsv.Crowded(ins) {
-		return ins, rsv, true
+	if !ok || rsv.Crowded(ins) {
+		if alt, altRsv, altOK := act.chooseWaiting(ctx, list); altOK {
+			if ok {
+				rsv.Release(place.Inconclusive)
+			}
+			ins, rsv, ok = alt, altRsv, true
+		}
 	}
-	reason := act.reason
-	alt, altRsv, altOK := act.chooseWaiting(ctx, list)
-	switch {
-	case altOK && ok:
-		rsv.Release(place.Inconclusive)
-		return alt, altRsv, true
-	case ok:
-		act.reason = reason
-		return ins, rsv, true
-	default:
-		return alt, altRsv, altOK
+	if ok {
+		act.reason, act.retryAfter = reason, 0
 	}
+	return ins, rsv, ok
 }
 
 // chooseAtOnce selects the best upstream that has no rate limit, or for which a permit is free.
