Review: add the stand-ins and the driver of the cases

Cause: the cases of the independent review start the router's processes with the commands of the deploy file and need a store, servers, consumers and a proxy around them.

--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,60 @@
+// Command standin runs the cases of an independent review: it starts the router's processes with the stand-ins of everything
+// around them, and checks one rule. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// cases are the cases by name. Each one reports whether the rule was broken. Without trouble, it leaves the disruption out.
+var cases = map[string]func(dep *deployment, trouble bool) (broken bool, err error){
+	"stale-record": runStaleRecord,
+	"herd-kill":    runHerdKill,
+	"leaving":      runLeaving,
+	"memory":       runMemory,
+	"path":         runPath,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		os.Exit(2)
+	}
+	os.Exit(run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0"))
+}
+
+// run runs a case and returns the exit code.
+func run(name, folder string, trouble bool) int {
+	folder, err := filepath.Abs(folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	rec.add("case %s, disruption: %t", name, trouble)
+	dep, err := newDeployment(filepath.Join(folder, "../.."), rec)
+	if err == nil {
+		defer dep.stop()
+		var broken bool
+		broken, err = cases[name](dep, trouble)
+		if err == nil && broken {
+			rec.add("the rule was broken")
+			fmt.Println("broken")
+			return 1
+		}
+	}
+	if err != nil {
+		rec.add("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	rec.add("the rule held")
+	fmt.Println("held")
+	return 0
+}
