--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,9 +12,9 @@
 var cases = map[string]func(dep *deployment, trouble bool) (broken bool, err error){
 	"stale-record": runStaleRecord,
 	"herd-kill":    runHerdKill,
-	"leaving":      runLeaving,
 	"memory":       runMemory,
 	"path":         runPath,
+	"poison":       runPoison,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,8 @@
 
 	address string
 	http    *http.Server
+	// onPoison is called when the server begins to run the request with poisonBody; nil means nothing.
+	onPoison func()
 
 	mut      sync.Mutex
 	executed []execution
@@ -48,12 +51,31 @@
 		return err
 	}
 	srv.address = lis.Addr().String()
-	srv.born = time.Now().UnixMilli()
-	srv.http = &http.Server{Handler: srv, IdleTimeout: 30 * time.Second}
-	go func() { _ = srv.http.Serve(lis) }()
+	srv.serve(lis)
+	return nil
+}
+
+// restart begins another lifetime at the same address.
+func (srv *server) restart() error {
+	lis, err := net.Listen("tcp", srv.address)
+	if err != nil {
+		return err
+	}
+	srv.serve(lis)
 	return nil
 }
 
+func (srv *server) serve(lis net.Listener) {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	srv.born, srv.sequence = time.Now().UnixMilli(), 0
+	srv.http = &http.Server{Handler: srv, IdleTimeout: 30 * time.Second}
+	go func(hsv *http.Server) { _ = hsv.Serve(lis) }(srv.http)
+}
+
+// poisonBody is the body of the request that crashes servers.
+const poisonBody = `{"amount":-1}`
+
 // record returns what the server writes about itself in the store.
 func (srv *server) record() map[string]any {
 	srv.mut.Lock()
@@ -97,6 +119,9 @@
 	}
 	id := req.Header.Get("Attempt-Id")
 	hdr.Set("Attempt-Id", id)
+	// Only the first bytes matter, and a body may be large.
+	start := make([]byte, len(poisonBody))
+	num, _ := io.ReadFull(req.Body, start)
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
@@ -111,6 +136,11 @@
 	srv.mut.Lock()
 	srv.executed = append(srv.executed, execution{at: time.Now(), attempt: id, method: req.Method, target: req.RequestURI})
 	srv.mut.Unlock()
+	if srv.onPoison != nil && string(start[:num]) == poisonBody {
+		go srv.onPoison()
+		<-req.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if !sleep(req.Context(), srv.work) {
 		return
 	}
@@ -129,6 +159,11 @@
 	}
 }
 
+// sortExecutions sorts executions by time.
+func sortExecutions(exes []execution) {
+	slices.SortFunc(exes, func(one, two execution) int { return one.at.Compare(two.at) })
+}
+
 // sleep reports whether the time passed before the context ended.
 func sleep(ctx context.Context, dur time.Duration) bool {
 	select {
