Review: four rounds in case 3, the store's era, and two findings that are no cases

Cause: with one kill a run, case 3 depends on which copy a starting process reads first; the store stand-in stated no era; a driver that was stopped left its processes behind.

--- a/review/standin/case_herd_kill.go
+++ b/review/standin/case_herd_kill.go
@@ -2,20 +2,34 @@
 
 import (
 	"bytes"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
 )
 
+const (
+	// rounds is how often processes are killed, and lingerTime how long a server serves after the removal of its record.
+	rounds     = 4
+	lingerTime = 10 * time.Second
+)
+
 // runHerdKill kills half of the processes at once, those that poll the store among them, and starts them again. Meanwhile a server
-// leaves whose record is removed without a report before. All of this happens twice.
+// leaves whose record is removed without a report before. All of this happens once a round.
 func runHerdKill(dep *deployment, trouble bool) (broken bool, err error) {
 	if err := addTradeServers(dep); err != nil {
 		return false, err
 	}
-	another := &server{id: "i-trade-east-a-2", service: serviceTrade, zone: "east-a", slots: make(chan struct{}, 30), work: 15 * time.Millisecond}
-	if err := dep.addServer(another); err != nil {
-		return false, err
+	leavers := []*server{dep.servers[0]}
+	for num := 2; num <= rounds; num++ {
+		srv := &server{
+			id: fmt.Sprintf("i-trade-east-a-%d", num), service: serviceTrade, zone: "east-a", slots: make(chan struct{}, 30),
+			work: 15 * time.Millisecond,
+		}
+		if err := dep.addServer(srv); err != nil {
+			return false, err
+		}
+		leavers = append(leavers, srv)
 	}
 	dep.store.set("op", "config", config(1))
 	polls := &pollCounter{counts: make(map[string]int)}
@@ -35,7 +49,7 @@
 	trf.start(100*time.Millisecond, order)
 	time.Sleep(3 * time.Second)
 	var leaves []leave
-	for _, leaver := range []*server{dep.servers[0], dep.servers[3]} {
+	for _, leaver := range leavers {
 		polls.reset()
 		time.Sleep(3 * time.Second)
 		leaves = append(leaves, leaveDuringKill(dep, leaver, polls, trouble))
@@ -88,9 +102,9 @@
 	time.Sleep(200 * time.Millisecond)
 	dep.store.remove("servers", leaver.id)
 	res.removed = time.Now()
-	dep.rec.add("the record of %s is removed; it goes on serving for 12 s", leaver.id)
+	dep.rec.add("the record of %s is removed; it goes on serving for %s", leaver.id, lingerTime)
 	restarts.Wait()
-	time.Sleep(time.Until(res.removed.Add(12 * time.Second)))
+	time.Sleep(time.Until(res.removed.Add(lingerTime)))
 	dep.rec.add("%s exits", leaver.id)
 	leaver.exit()
 	return res
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,11 +5,18 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // cases are the cases by name. Each one reports whether the rule was broken. Without trouble, it leaves the disruption out.
 var cases = map[string]func(dep *deployment, trouble bool) (broken bool, err error){
+	// Findings that are no cases; see REPORT.md.
+	"half-close": runHalfClose,
+	"leaving":    runLeaving,
+	// The cases.
 	"stale-record": runStaleRecord,
 	"herd-kill":    runHerdKill,
 	"memory":       runMemory,
@@ -41,6 +48,7 @@
 	dep, err := newDeployment(filepath.Join(folder, "../.."), rec)
 	if err == nil {
 		defer dep.stop()
+		go stopEarly(dep)
 		var broken bool
 		broken, err = cases[name](dep, trouble)
 		if err == nil && broken {
@@ -58,3 +66,19 @@
 	fmt.Println("held")
 	return 0
 }
+
+// maxTime is how long a case may run.
+const maxTime = 118 * time.Second
+
+// stopEarly ends all processes when the program gets a signal to stop, or when the case takes too long.
+func stopEarly(dep *deployment) {
+	sgs := make(chan os.Signal, 1)
+	signal.Notify(sgs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-sgs:
+	case <-time.After(maxTime):
+	}
+	dep.rec.add("the case is stopped early")
+	dep.stop()
+	os.Exit(2)
+}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -92,6 +92,7 @@
 	}
 	txt, _ := json.Marshal(answer{Rows: rows, HasMore: more, RowVersion: str.version, NowMs: float64(time.Since(str.started).Milliseconds()) + 1})
 	wri.Header().Set("Content-Type", "application/json")
+	wri.Header().Set("Store-Era", "1")
 	wri.WriteHeader(status)
 	_, _ = wri.Write(txt)
 }
