--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"hash/fnv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -9,14 +11,12 @@
 )
 
 const (
-	// usualInterval is the time between two long prompts at one node; burstFactor is how many times as many come in a burst.
-	usualInterval = 300 * time.Millisecond
-	burstFactor   = 2.4
-	// burstInterval is the time between the prompts of a burst that come beside the usual ones.
-	burstInterval = usualInterval * 10 / 14
-	burstTime     = 9 * time.Second
-	burstPause    = 4 * time.Second
-	bursts        = 3
+	// promptRate is the usual number of long prompts a second at all nodes, and burstFactor how many times as many come in a burst.
+	promptRate  = 8.87
+	burstFactor = 2.4
+	burstTime   = 9 * time.Second
+	burstPause  = 4 * time.Second
+	bursts      = 3
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 500 * time.Millisecond
 	// maxLost is from the rule LOST, and killsPerNode from the rule Fault.
@@ -34,7 +34,7 @@
 	for num := range 9 {
 		srv := &server{
 			id: "i-model-" + string(rune('a'+num)), service: serviceModel, zone: zones[num%3][0], slots: make(chan struct{}, 64),
-			work: time.Second, events: 24, gap: 125 * time.Millisecond,
+			places: make(chan struct{}, 64+192), maxConnections: modelConnections, work: 1800 * time.Millisecond, events: 24, gap: 170 * time.Millisecond,
 		}
 		if err := dep.addServer(srv); err != nil {
 			return false, err
@@ -51,16 +51,16 @@
 	prompt := func(attempt string) request {
 		return request{
 			method: "POST", target: "/digest/2f", attempt: attempt, deadline: promptDeadline, body: body,
-			header: "Model: m\r\nToken-Usage: 17020,24\r\nPrompt-Prefix: 5c1e07a2:13300,e4402b7d:3720\r\n",
+			header: promptHeader(attempt),
 		}
 	}
-	trf.start(usualInterval, func(attempt string) request { return prompt("usual-" + attempt) })
+	trf.startEach(func(nod *node) time.Duration { return promptInterval(nod, 1) }, func(attempt string) request { return prompt("usual-" + attempt) })
 	time.Sleep(8 * time.Second)
 	for num := range bursts {
 		if trouble {
 			dep.rec.add("burst %d begins: %g times the usual prompts for %s", num+1, burstFactor, burstTime)
 			extra := newTraffic(dep)
-			extra.start(burstInterval, func(attempt string) request {
+			extra.startEach(func(nod *node) time.Duration { return promptInterval(nod, burstFactor-1) }, func(attempt string) request {
 				return prompt("burst" + string(rune('1'+num)) + "-" + attempt)
 			})
 			time.Sleep(burstTime)
@@ -99,6 +99,30 @@
 	return lost > maxLost, nil
 }
 
+// zoneTraffic is the traffic of the zones, in requests a second, as in the site file of sievedesk.
+var zoneTraffic = map[string]float64{"east-a": 14.9, "north-a": 16.7, "east-b": 12.8}
+
+// promptInterval returns the time between two long prompts at a node. The consumers of a zone come to its nodes.
+func promptInterval(nod *node, factor float64) time.Duration {
+	sum, nodes := 0.0, 0
+	for _, val := range zoneTraffic {
+		sum += val
+	}
+	for _, zone := range nodeZones {
+		if zone == nod.zone {
+			nodes++
+		}
+	}
+	return time.Duration(float64(time.Second) / (factor * promptRate * zoneTraffic[nod.zone] / sum / float64(nodes)))
+}
+
+// promptHeader returns the header of a long prompt, which shares its first part with one of 71.
+func promptHeader(attempt string) string {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(attempt))
+	return fmt.Sprintf("Model: m\r\nToken-Usage: 17020,24\r\nPrompt-Prefix: %08x:13300,%08x:3720\r\n", sum.Sum32()%71+1, sum.Sum32())
+}
+
 // memoryWatch kills processes that exceed the memory of their machine, and starts them again.
 type memoryWatch struct {
 	stopped atomic.Bool
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -58,8 +58,13 @@
 
 	reader *bufio.Reader
 	used   bool
+	// idleSince is when the last answer was read.
+	idleSince time.Time
 }
 
+// maxIdle is how long an idle channel is used again: four fifths of the limit in the manifest.
+const maxIdle = 12 * time.Second
+
 // send sends a request on an idle channel, or on a new one, and reads the answer until the consumer's time limit.
 func (chs *channels) send(req request) (res result) {
 	chn, err := chs.take()
@@ -93,13 +98,31 @@
 	}
 	chs.mut.Lock()
 	defer chs.mut.Unlock()
+	chn.idleSince = time.Now()
 	chs.idle = append(chs.idle, chn)
 	return res
 }
 
+// hasIdle reports whether there is an idle channel.
+func (chs *channels) hasIdle() bool {
+	chs.mut.Lock()
+	defer chs.mut.Unlock()
+	chs.dropOld()
+	return len(chs.idle) > 0
+}
+
+// dropOld closes the channels that have been idle for too long; the lock is held.
+func (chs *channels) dropOld() {
+	for len(chs.idle) > 0 && time.Since(chs.idle[0].idleSince) > maxIdle {
+		_ = chs.idle[0].Close()
+		chs.idle = chs.idle[1:]
+	}
+}
+
 // take returns the idle channel that was used last, or a new one.
 func (chs *channels) take() (chn *channel, err error) {
 	chs.mut.Lock()
+	chs.dropOld()
 	if num := len(chs.idle); num > 0 {
 		chn = chs.idle[num-1]
 		chs.idle = chs.idle[:num-1]
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -44,6 +44,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	defer rec.close()
 	rec.add("case %s, disruption: %t", name, trouble)
 	dep, err := newDeployment(filepath.Join(folder, "../.."), rec)
 	if err == nil {
@@ -80,5 +81,6 @@
 	}
 	dep.rec.add("the case is stopped early")
 	dep.stop()
+	dep.rec.close()
 	os.Exit(2)
 }
