Compare copies by the version up to which they are complete

What callers saw: requests went to an upstream that had left, until it exited.

Cause: a copy was confirmed, or fetched, by its newest change alone.

Ruled out: a removal that arrives and is dropped, and an answer of the store that lacks it; the node gets neither.

Change: a position states the version up to which the copy is complete, and the version after which it knows all deletions, beside its newest change. A peer confirms a copy only if it knows of no change after the version up to which that copy is complete. This is sound because a peer that knows all deletions after a version, and no newer change, proves that nothing happened between. A copy behind a gap is completed by a whole copy after 1.5 s; mostly another reader rules deletions out before.

--- a/internal/router/follow/confirm.go
+++ b/internal/router/follow/confirm.go
@@ -34,7 +34,7 @@
 func (fol *Follower) Confirmed() (pos Position, storeMs int64, age time.Duration) {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
-	pos = Position{Era: fol.era, LastChange: fol.lastChange}
+	pos = fol.position()
 	if fol.confirmedAt.IsZero() {
 		return pos, 0, 0
 	}
@@ -48,13 +48,17 @@
 	return !fol.confirmedAt.IsZero() && time.Since(fol.confirmedAt) <= age
 }
 
-// Confirm records that a peer's copy held all changes up to a time of the store's clock, an age ago. Peers pass on what others
-// confirmed: as a time of the store's clock is newer only once, the age does not shrink on the way. A copy of another era
-// confirms nothing.
+// Confirm records that a peer's copy at a position held all changes up to a time of the store's clock, an age ago. It has no
+// effect if this copy may lack some of them; otherwise this copy is complete up to the same version. Peers pass on what others
+// confirmed: as a time of the store's clock is newer only once, the age does not shrink on the way.
 func (fol *Follower) Confirm(pos Position, storeMs int64, age time.Duration) {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
-	if pos.Era == fol.era && pos.LastChange <= fol.lastChange && fol.version > 0 && storeMs > fol.confirmedMs {
+	if pos.Era != fol.era || fol.version == 0 || fol.position().Lacks(pos) {
+		return
+	}
+	fol.version = max(fol.version, pos.Complete)
+	if storeMs > fol.confirmedMs {
 		fol.confirmedMs, fol.confirmedAt = storeMs, time.Now().Add(-age)
 	}
 }
--- a/internal/router/follow/doc.go
+++ b/internal/router/follow/doc.go
@@ -13,8 +13,12 @@
 // Follower compares only versions of one era: it replaces its copy by the first snapshot of a later era, from the store or from
 // a peer, and drops what comes from an earlier one. Peers that state no era are of the earliest.
 //
+// A copy holds all changes up to some version of the store. A snapshot shows no deletions, so a copy that was built from one
+// cannot tell whether a record which only another copy holds was deleted or never existed; see Position. Two copies are
+// compared by the versions up to which they are complete, never by their newest known changes alone.
+//
 // A copy is confirmed whenever it is known to hold all changes up to a time of the store's
-// clock, by an answer of the store or by a peer that has no newer changes.
+// clock, by an answer of the store or by a peer that knows that nothing changed after the version up to which it is complete.
 //
 // During an outage of the store the copy keeps its records. Records with a short lifetime
 // may expire in the store meanwhile, although their owners are alive; Update.StoreRecovered
--- a/internal/router/follow/follow.go
+++ b/internal/router/follow/follow.go
@@ -78,10 +78,10 @@
 	// lastChange is the version of the newest change up to which the copy is complete. It can be below version, because
 	// the store numbers the changes of all kinds together.
 	lastChange int64
-	// deletions holds the versions at which records were deleted, by key. deletionsDropped is the
-	// newest version among the deletions that are no longer kept.
-	deletions        map[string]int64
-	deletionsDropped int64
+	// deletions holds the versions at which records were deleted, by key. It lacks deletions up to deletionsAfter: they were
+	// hidden by a snapshot, or are no longer kept.
+	deletions      map[string]int64
+	deletionsAfter int64
 	// loaded is set once all records were read, and reset when the store has discarded the history
 	// after version.
 	loaded bool
@@ -190,31 +190,20 @@
 	return fol.version
 }
 
-// LastChange returns the version of the newest change in the copy. Nodes compare it to find out
-// whose copy is newer, if both are of the same era.
+// LastChange returns the newest version at which the copy changed, or may have changed by a deletion that a snapshot hides.
 func (fol *Follower) LastChange() int64 {
-	return fol.Position().LastChange
+	return fol.Position().newest()
 }
 
-// Position identifies the state of a copy.
-type Position struct {
-	// Era is the era of the store's versions.
-	Era int64
-	// LastChange is the version of the newest change.
-	LastChange int64
-}
-
-// Before reports whether a copy lacks changes that another one has: it is of an earlier era, or of the same era with an older
-// newest change.
-func (pos Position) Before(oth Position) bool {
-	return pos.Era < oth.Era || pos.Era == oth.Era && pos.LastChange < oth.LastChange
-}
-
-// Position returns the era and the newest change of the copy.
+// Position returns the state of the copy.
 func (fol *Follower) Position() Position {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
-	return Position{Era: fol.era, LastChange: fol.lastChange}
+	return fol.position()
+}
+
+func (fol *Follower) position() Position {
+	return Position{Era: fol.era, LastChange: fol.lastChange, DeletionsAfter: fol.deletionsAfter, Complete: fol.version}
 }
 
 // OutageDuration returns how long the store has not responded; zero means that it responds or that
@@ -228,14 +217,27 @@
 	return max(1, time.Since(fol.failingSince))
 }
 
-// ChangesSince returns the changes after a version of the copy's era. It returns a snapshot if the version is zero, or
-// not above that of a deletion that is no longer kept.
+// ChangesSince returns the changes after a version of the copy's era up to which another copy is complete. It returns a snapshot
+// if the version is zero, or if deletions after it may be unknown.
 func (fol *Follower) ChangesSince(after int64) (chs router.Changes) {
 	fol.mut.Lock()
 	defer fol.mut.Unlock()
-	if after <= fol.deletionsDropped {
+	return fol.changesFor(Position{Era: fol.era, LastChange: after, Complete: after})
+}
+
+// ChangesFor returns the changes that a copy at a position may lack. It returns a snapshot if that copy is empty or of another
+// era, or if deletions that it lacks may be unknown.
+func (fol *Follower) ChangesFor(pos Position) (chs router.Changes) {
+	fol.mut.Lock()
+	defer fol.mut.Unlock()
+	return fol.changesFor(pos)
+}
+
+func (fol *Follower) changesFor(pos Position) (chs router.Changes) {
+	if fol.position().RequiresSnapshot(pos) {
 		return fol.snapshot()
 	}
+	after := pos.LastChange
 	chs = router.Changes{Era: fol.era, Version: fol.version, AfterOutage: time.Since(fol.recoveredAt) < afterOutagePeriod}
 	for _, rec := range fol.records {
 		if rec.Version > after {
--- a/internal/router/follow/merge.go
+++ b/internal/router/follow/merge.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
@@ -35,12 +37,7 @@
 	} else {
 		upd.StoreRecovered = upd.StoreRecovered || chs.AfterOutage && len(upd.Changed) > 0
 	}
-	fol.version = max(fol.version, chs.Version)
-	fol.loaded = true
-	if !upd.Restored {
-		fol.recordVersions(upd.Changed, chs.Version)
-		fol.recordKnown(chs)
-	}
+	fol.advance(chs, upd)
 	version := fol.version
 	if len(upd.Changed) > 0 || upd.StoreRecovered {
 		// Called under the lock, so that updates are applied in order.
@@ -53,6 +50,19 @@
 	return len(upd.Changed)
 }
 
+// advance records up to which versions changes and deletions are known after changes were merged.
+func (fol *Follower) advance(chs router.Changes, upd Update) {
+	if chs.Snapshot && chs.Version > fol.version {
+		fol.forgetDeletions(chs.Version)
+	}
+	fol.version = max(fol.version, chs.Version)
+	fol.loaded = true
+	if !upd.Restored {
+		fol.recordVersions(upd.Changed, chs.Version)
+		fol.recordKnown(chs)
+	}
+}
+
 // enterEra replaces the copy by a snapshot of a later era and returns the differences. Whether a record changed shows in its
 // value only.
 func (fol *Follower) enterEra(chs router.Changes) (upd Update) {
@@ -63,8 +73,7 @@
 	fol.era, fol.version, fol.lastChange = chs.Era, chs.Version, 0
 	fol.confirmedMs, fol.confirmedAt = 0, time.Time{}
 	clear(fol.deletions)
-	// What was deleted before the snapshot is unknown.
-	fol.deletionsDropped = chs.Version
+	fol.forgetDeletions(chs.Version)
 	fol.records = make(map[string]router.Record, len(chs.Records))
 	for _, rec := range chs.Records {
 		fol.records[rec.Key] = rec
@@ -92,13 +101,15 @@
 			delete(fol.deletions, rec.Key)
 		}
 	}
-	if len(fol.deletions) <= maxDeletions {
-		return
-	}
-	for _, ver := range fol.deletions {
-		fol.deletionsDropped = max(fol.deletionsDropped, ver)
+	if len(fol.deletions) > maxDeletions {
+		fol.forgetDeletions(slices.Max(slices.Collect(maps.Values(fol.deletions))))
 	}
-	clear(fol.deletions)
+}
+
+// forgetDeletions records that deletions up to a version may be unknown from now on.
+func (fol *Follower) forgetDeletions(version int64) {
+	fol.deletionsAfter = version
+	maps.DeleteFunc(fol.deletions, func(_ string, ver int64) bool { return ver <= version })
 }
 
 // recordKnown updates the versions by received changes that the copy already had, such as the deletion of a record that it
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -26,9 +26,11 @@
 	// copiesPath is the path below which a node serves its copies to peers.
 	copiesPath = "/v1/copies/"
 	// afterParam is the query parameter with the version after which a peer requests changes; 0
-	// requests a snapshot. eraParam is the query parameter with the era of that version.
-	afterParam = "After"
-	eraParam   = "Era"
+	// requests a snapshot. completeParam is the query parameter with the version up to which the peer's copy is complete, and
+	// eraParam that with the era of both.
+	afterParam    = "After"
+	completeParam = "Complete"
+	eraParam      = "Era"
 	// dialTimeout limits connecting to a peer, and fetchTimeout limits the whole fetch, which may
 	// go over a slow link.
 	dialTimeout  = time.Second
@@ -40,6 +42,9 @@
 	// maxLag is how long a peer's copy may be newer before this node fetches it although its own
 	// watch seems to work. Watches batch changes for less than that.
 	maxLag = 800 * time.Millisecond
+	// maxHiddenLag is the same if the peer read a snapshot, which may hide deletions. Other peers show within the interval of
+	// their watches that there was none.
+	maxHiddenLag = 1500 * time.Millisecond
 )
 
 // copier fetches the changes of one kind of record from peers and serves them to peers.
@@ -49,19 +54,26 @@
 	transport http.RoundTripper
 
 	mut sync.Mutex
-	// newestSeen is the newest position in the digests of all peers, and behindSince is when it
-	// became newer than that of this node.
+	// newestSeen is the newest position in the digests of all peers, and behindSince is since when
+	// this node's copy may lack changes of it.
 	newestSeen  follow.Position
 	behindSince time.Time
 	fetching    bool
 	lastFetch   time.Time
 
 	cacheMut sync.Mutex
-	// cache is the last encoded response: the changes after cacheAfter as of cachePosition. It is
-	// nil before the first request.
-	cache         []byte
-	cachePosition follow.Position
-	cacheAfter    int64
+	// cache is the last encoded response; nil before the first request.
+	cache    []byte
+	cacheKey cacheKey
+}
+
+// cacheKey identifies an encoded response.
+type cacheKey struct {
+	// position is that of the copy, without the version up to which it is complete.
+	position follow.Position
+	// after is the version after which changes were requested. It is zero if snapshot is set.
+	after    int64
+	snapshot bool
 }
 
 // peerTransport connects to peers.
@@ -75,7 +87,7 @@
 // does not deliver. If there are none, the copies are as current as those of the sender.
 func (msh *Mesh) fetchNewerCopies(ctx context.Context, dig *wire.Digest) {
 	for _, cop := range msh.copiers {
-		newer := follow.Position{Era: dig.GetEras()[string(cop.kind)], LastChange: dig.GetVersions()[string(cop.kind)]}
+		newer := copyPosition(dig, cop.kind)
 		cop.follower.Confirm(newer, dig.GetConfirmedStoreMs(), time.Duration(dig.GetConfirmedAgeMs())*time.Millisecond)
 		sameDomain := dig.GetFailureDomain() == msh.options.Self.FailureDomain
 		if !cop.beginFetch(newer, sameDomain, msh.options.Timers.Now()) {
@@ -88,33 +100,38 @@
 				msh.options.Log.Info("copy not fetched", "Kind", cop.kind, "Peer", dig.GetNode(), "Error", err.Error())
 				return
 			}
-			msh.options.Log.Info("copy fetched from peer", "Kind", cop.kind, "Peer", dig.GetNode(), "Era", newer.Era, "Version", newer.LastChange, "Records", num)
+			msh.options.Log.Info("copy fetched from peer", "Kind", cop.kind, "Peer", dig.GetNode(), "Era", newer.Era, "Version", newer.LastChange, "DeletionsAfter", newer.DeletionsAfter, "Records", num)
 		}()
 	}
 }
 
-// beginFetch reports whether to fetch a peer's newer version now, and if so marks the copier as
-// fetching. A node that uses peers or cannot reach the store fetches from peers in its failure domain
-// at once. In all other cases it must have been behind for maxLag, so that it fetches from other
-// failure domains only what its own does not have.
+// beginFetch reports whether to fetch from a peer at a position now, and if so marks the copier as
+// fetching. A node that uses peers or cannot reach the store fetches a newer change from peers in its failure domain
+// at once. In all other cases it must have been behind for some time, so that it fetches from other
+// failure domains only what its own does not have, and whole copies only if none of its peers rules out a deletion.
 func (cop *copier) beginFetch(newer follow.Position, sameDomain bool, now time.Time) bool {
 	cop.mut.Lock()
 	defer cop.mut.Unlock()
 	own := cop.follower.Position()
-	if cop.newestSeen.Before(newer) {
-		cop.newestSeen = newer
-	}
-	if !own.Before(cop.newestSeen) {
+	cop.newestSeen = cop.newestSeen.Max(newer)
+	if !own.Lacks(cop.newestSeen) {
 		cop.behindSince = time.Time{}
 	}
-	if !own.Before(newer) {
+	if !own.Lacks(newer) {
 		return false
 	}
 	if cop.behindSince.IsZero() {
 		cop.behindSince = now
 	}
 	needsPeers := cop.follower.UsesPeers() || cop.follower.OutageDuration() > 0
-	due := sameDomain && needsPeers || now.Sub(cop.behindSince) > maxLag
+	lag := maxHiddenLag
+	if own.LacksChange(newer) {
+		lag = maxLag
+		if sameDomain && needsPeers {
+			lag = 0
+		}
+	}
+	due := now.Sub(cop.behindSince) >= lag
 	if !due || cop.fetching || now.Sub(cop.lastFetch) < minFetchInterval {
 		return false
 	}
@@ -137,7 +154,8 @@
 	defer cancel()
 	own := cop.follower.Position()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
-		fmt.Sprintf("http://%s%s%s?%s=%d&%s=%d", address, copiesPath, cop.kind, afterParam, own.LastChange, eraParam, own.Era), nil)
+		fmt.Sprintf("http://%s%s%s?%s=%d&%s=%d&%s=%d", address, copiesPath, cop.kind,
+			afterParam, own.LastChange, completeParam, own.Complete, eraParam, own.Era), nil)
 	if err != nil {
 		return 0, err
 	}
@@ -175,9 +193,10 @@
 				http.Error(wri, err.Error(), http.StatusBadRequest)
 				return
 			}
-			// Nodes of earlier releases state no era.
+			// Nodes of earlier releases state no era, and no version up to which their copy is complete.
 			era, _ := strconv.ParseInt(req.FormValue(eraParam), 10, 64)
-			txt, err := cop.encodeChanges(follow.Position{Era: era, LastChange: after})
+			complete, _ := strconv.ParseInt(req.FormValue(completeParam), 10, 64)
+			txt, err := cop.encodeChanges(follow.Position{Era: era, LastChange: after, Complete: max(complete, after)})
 			if err != nil {
 				http.Error(wri, err.Error(), http.StatusInternalServerError)
 				return
@@ -193,23 +212,22 @@
 	return mux
 }
 
-// encodeChanges returns the changes after a position, marshalled and compressed: a snapshot if the position is of another era.
+// encodeChanges returns the changes that a copy at a position may lack, marshalled and compressed.
 // The result is cached, because many peers request the same changes at once.
 func (cop *copier) encodeChanges(pos follow.Position) (txt []byte, err error) {
 	defer errs.Annotate(&err, "encode changes")
 	cop.cacheMut.Lock()
 	defer cop.cacheMut.Unlock()
-	newest, after := cop.follower.Position(), pos.LastChange
-	if pos.Era != newest.Era {
-		after = 0
+	own := cop.follower.Position()
+	key := cacheKey{position: own, snapshot: own.RequiresSnapshot(pos)}
+	key.position.Complete = 0
+	if !key.snapshot {
+		key.after = pos.LastChange
 	}
-	if cop.cache != nil && cop.cachePosition == newest && cop.cacheAfter == after {
+	if cop.cache != nil && cop.cacheKey == key {
 		return cop.cache, nil
 	}
-	chs := cop.follower.ChangesSince(after)
-	if chs.Era != newest.Era {
-		chs = cop.follower.Snapshot()
-	}
+	chs := cop.follower.ChangesFor(pos)
 	msg := &wire.Copy{Era: chs.Era, Version: chs.Version, Whole: chs.Snapshot, AfterOutage: chs.AfterOutage}
 	for _, rec := range chs.Records {
 		msg.Records = append(msg.Records, &wire.CopiedRecord{Key: rec.Key, Value: rec.Value, Version: rec.Version, Deleted: rec.Deleted})
@@ -222,7 +240,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cop.cache, cop.cachePosition, cop.cacheAfter = txt, newest, after
+	cop.cache, cop.cacheKey = txt, key
 	return txt, nil
 }
 
--- a/internal/router/mesh/current_test.go
+++ b/internal/router/mesh/current_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -85,10 +86,14 @@
 type domainNode struct {
 	*Mesh
 
+	number   int
 	store    domainStore
 	follower *follow.Follower
-	// value is the applied value of the only record.
+	// value is the value of the record that was applied last.
 	value atomic.Value
+	mut   sync.Mutex
+	// values are the applied values by the keys of their records.
+	values map[string]string
 	// frozen stops the digests of the node; outdated removes from them what older releases do not send.
 	frozen, outdated atomic.Bool
 }
@@ -96,14 +101,27 @@
 // testDomain is a failure domain whose nodes exchange digests and copies without a network, in fake time.
 type testDomain struct {
 	store *fakes.RecordStore
-	// nodes are in the order in which they watch the store.
+	kind  router.RecordKind
+	// copies counts the copies that nodes fetched from each other.
+	copies atomic.Int64
+
+	mut sync.Mutex
+	// nodes are in the order in which they watch the store. The test reads them without the lock.
 	nodes []*domainNode
 }
 
+// list returns the nodes that run at present.
+func (dom *testDomain) list() (nods []*domainNode) {
+	dom.mut.Lock()
+	defer dom.mut.Unlock()
+	return slices.Clone(dom.nodes)
+}
+
 // RoundTrip calls a node's handler of copies.
 func (dom *testDomain) RoundTrip(req *http.Request) (rsp *http.Response, err error) {
-	for _, nod := range dom.nodes {
+	for _, nod := range dom.list() {
 		if nod.options.Self.Address == req.URL.Host && !nod.frozen.Load() {
+			dom.copies.Add(1)
 			rec := httptest.NewRecorder()
 			req.Header.Set("Accept-Encoding", "gzip")
 			nod.Handler().ServeHTTP(rec, req)
@@ -118,42 +136,82 @@
 }
 
 func newTestDomain(ctx context.Context, size int) (dom *testDomain) {
-	dom = &testDomain{store: fakes.NewRecordStore()}
+	dom = &testDomain{store: fakes.NewRecordStore(), kind: router.Manifests}
 	dom.store.Set(router.Manifests, "config", []byte("first"))
+	dom.start(ctx, size)
+	return dom
+}
+
+// start starts the nodes.
+func (dom *testDomain) start(ctx context.Context, size int) {
 	for num := range size {
-		nod := &domainNode{store: domainStore{RecordStore: dom.store}}
-		nod.follower = follow.New(follow.Options{
-			Source: &nod.store, Kind: router.Manifests, Log: slog.New(slog.DiscardHandler),
-			Apply: func(upd follow.Update) {
-				for _, rec := range upd.Changed {
-					nod.value.Store(string(rec.Value))
-				}
-			},
-			UsePeers: func() bool { return nod.follower.Version() > 0 && nod.KeepsCurrent(nod.follower) },
-		})
-		nod.Mesh = New(Options{
-			Self:   router.Member{Name: fmt.Sprintf("node-%d", num), Address: fmt.Sprintf("10.0.0.%d:1", num+1), FailureDomain: "domain"},
-			Timers: timer.Real{}, Log: slog.New(slog.DiscardHandler), Codec: fakes.Codec{}, Load: emptyLoad{},
-			Copies: map[router.RecordKind]*follow.Follower{router.Manifests: nod.follower}, Transport: dom,
-		})
-		dom.nodes = append(dom.nodes, nod)
+		dom.nodes = append(dom.nodes, dom.newNode(num))
 	}
 	slices.SortFunc(dom.nodes, func(one, two *domainNode) int {
 		return cmp.Compare(xxhash.Sum64String(one.options.Self.Name), xxhash.Sum64String(two.options.Self.Name))
 	})
 	for _, nod := range dom.nodes {
-		for _, oth := range dom.nodes {
-			if oth != nod {
-				if err := nod.addMember(oth.options.Self, 1); err != nil {
-					panic(err)
-				}
+		dom.run(ctx, nod)
+	}
+}
+
+// newNode returns the node of a number, which does not run yet.
+func (dom *testDomain) newNode(num int) (nod *domainNode) {
+	nod = &domainNode{number: num, store: domainStore{RecordStore: dom.store}, values: make(map[string]string)}
+	nod.follower = follow.New(follow.Options{
+		Source: &nod.store, Kind: dom.kind, Log: slog.New(slog.DiscardHandler), Apply: nod.apply,
+		UsePeers: func() bool { return nod.follower.Version() > 0 && nod.KeepsCurrent(nod.follower) },
+	})
+	nod.Mesh = New(Options{
+		Self:   router.Member{Name: fmt.Sprintf("node-%d", num), Address: fmt.Sprintf("10.0.0.%d:1", num+1), FailureDomain: "domain"},
+		Timers: timer.Real{}, Log: slog.New(slog.DiscardHandler), Codec: fakes.Codec{}, Load: emptyLoad{},
+		Copies: map[router.RecordKind]*follow.Follower{dom.kind: nod.follower}, Transport: dom,
+	})
+	return nod
+}
+
+// apply applies an update to the values.
+func (nod *domainNode) apply(upd follow.Update) {
+	nod.mut.Lock()
+	defer nod.mut.Unlock()
+	for _, rec := range upd.Changed {
+		nod.value.Store(string(rec.Value))
+		nod.values[rec.Key] = string(rec.Value)
+		if rec.Deleted {
+			delete(nod.values, rec.Key)
+		}
+	}
+}
+
+// holds reports whether the node has a record.
+func (nod *domainNode) holds(key string) (ok bool) {
+	nod.mut.Lock()
+	defer nod.mut.Unlock()
+	_, ok = nod.values[key]
+	return ok
+}
+
+// run runs a node that knows the others.
+func (dom *testDomain) run(ctx context.Context, nod *domainNode) {
+	for _, oth := range dom.nodes {
+		if oth.number != nod.number {
+			if err := nod.addMember(oth.options.Self, 1); err != nil {
+				panic(err)
 			}
 		}
-		nod.membersRead = true
-		go nod.follower.Run(ctx)
-		go dom.sendDigests(ctx, nod)
 	}
-	return dom
+	nod.membersRead = true
+	go nod.follower.Run(ctx)
+	go dom.sendDigests(ctx, nod)
+}
+
+// restart replaces a node that is frozen by one of the same name which knows nothing.
+func (dom *testDomain) restart(ctx context.Context, pos int) {
+	nod := dom.newNode(dom.nodes[pos].number)
+	dom.mut.Lock()
+	dom.nodes[pos] = nod
+	dom.mut.Unlock()
+	dom.run(ctx, nod)
 }
 
 func (dom *testDomain) sendDigests(ctx context.Context, nod *domainNode) {
@@ -166,8 +224,9 @@
 		nod.prepareDigest(dig)
 		if nod.outdated.Load() {
 			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs, dig.Reads, dig.Eras = 0, 0, true, nil
+			dig.DeletionsAfter, dig.CompleteVersion = nil, 0
 		}
-		for _, oth := range dom.nodes {
+		for _, oth := range dom.list() {
 			if oth != nod && !nod.frozen.Load() && !oth.frozen.Load() && oth.acceptDigest(dig) {
 				oth.fetchNewerCopies(ctx, dig)
 			}
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
@@ -53,8 +54,8 @@
 	}
 }
 
-// addCopies adds the state of the copies to a digest: their eras and versions, and what is known of all of them. Times of the
-// store's clock are comparable only within an era.
+// addCopies adds the state of the copies to a digest: their positions, and what is known of all of them. Versions and times of
+// the store's clock are comparable only within an era.
 func (msh *Mesh) addCopies(dig *wire.Digest) {
 	dig.Reads = true
 	dig.Eras = make(map[string]int64, len(msh.options.Copies))
@@ -63,15 +64,34 @@
 	for knd, fol := range msh.options.Copies {
 		pos, storeMs, age := fol.Confirmed()
 		dig.Versions[string(knd)], dig.Eras[string(knd)] = pos.LastChange, pos.Era
+		if pos.DeletionsAfter > pos.LastChange {
+			if dig.DeletionsAfter == nil {
+				dig.DeletionsAfter = make(map[string]int64, len(msh.options.Copies))
+			}
+			dig.DeletionsAfter[string(knd)] = pos.DeletionsAfter
+		}
 		dig.Reads = dig.Reads && fol.WatchesStore()
 		mixed = mixed || !first && pos.Era != era
 		if first || storeMs < dig.ConfirmedStoreMs {
 			dig.ConfirmedStoreMs, dig.ConfirmedAgeMs = storeMs, uint32(min(age.Milliseconds(), math.MaxUint32))
 		}
+		if first || pos.Complete < dig.CompleteVersion {
+			dig.CompleteVersion = pos.Complete
+		}
 		first, era = false, pos.Era
 	}
 	if mixed {
-		dig.ConfirmedStoreMs, dig.ConfirmedAgeMs = 0, 0
+		dig.ConfirmedStoreMs, dig.ConfirmedAgeMs, dig.CompleteVersion = 0, 0, 0
+	}
+}
+
+// copyPosition returns the position of a copy as its digest states it.
+func copyPosition(dig *wire.Digest, knd router.RecordKind) follow.Position {
+	return follow.Position{
+		Era:            dig.GetEras()[string(knd)],
+		LastChange:     dig.GetVersions()[string(knd)],
+		DeletionsAfter: dig.GetDeletionsAfter()[string(knd)],
+		Complete:       dig.GetCompleteVersion(),
 	}
 }
 
