Don't bring a deleted record back with a late answer of the store

Cause: an answer of the store was taken as newer than the copy in any case. In a cut a node gets changes from its peers too, so its copy may be ahead of an answer that is held up. The record in that answer was added again although the copy had its deletion, and the next watch began after the deletion. The late answer also set the time up to which the copy is confirmed back.

Change: a record of a version up to which the copy is complete, which the copy doesn't hold, was deleted, whoever sends it. An answer that is older than what peers confirmed leaves the confirmation as it is.

--- a/internal/router/follow/merge.go
+++ b/internal/router/follow/merge.go
@@ -17,7 +17,7 @@
 	var upd Update
 	switch {
 	case chs.Era == fol.era:
-		upd.Changed = fol.merge(chs, fromStore)
+		upd.Changed = fol.merge(chs)
 	case chs.Era > fol.era && chs.Snapshot:
 		upd = fol.enterEra(chs)
 	default:
@@ -28,7 +28,10 @@
 	silence := fol.silence()
 	if fromStore {
 		fol.answeredAt = time.Now()
-		fol.confirmedMs, fol.confirmedAt = chs.StoreMs, answered
+		if chs.StoreMs >= fol.confirmedMs {
+			// Otherwise a peer confirmed the copy while the answer was on its way.
+			fol.confirmedMs, fol.confirmedAt = chs.StoreMs, answered
+		}
 		upd.StoreRecovered = upd.StoreRecovered || !fol.failingSince.IsZero()
 		fol.failingSince = time.Time{}
 		if upd.StoreRecovered {
@@ -129,9 +132,9 @@
 // merge adds the changes that are newer than the copy and returns them. Records that are missing
 // from a snapshot count as deleted.
 //
-// A record from a peer that the copy does not hold, although the copy is current to the record's version, was deleted since:
-// the peer's answer was on its way longer than the deletion.
-func (fol *Follower) merge(chs router.Changes, fromStore bool) (changed []router.Record) {
+// A record that the copy does not hold, although the copy is complete up to the record's version, was deleted since: the answer,
+// of a peer or of the store, was on its way longer than the deletion, which came from elsewhere.
+func (fol *Follower) merge(chs router.Changes) (changed []router.Record) {
 	if chs.Snapshot && chs.Version < fol.version {
 		return nil
 	}
@@ -139,7 +142,7 @@
 	for _, rec := range chs.Records {
 		seen[rec.Key] = true
 		old, fnd := fol.records[rec.Key]
-		outdated := !fnd && !fromStore && !chs.Snapshot && rec.Version <= fol.version
+		outdated := !fnd && !chs.Snapshot && rec.Version <= fol.version
 		if rec.Version <= old.Version || rec.Deleted && !fnd || outdated {
 			continue
 		}
