Don't end a resumed stream as complete when its connection just ends

What callers saw: operators of a system like this one reported a 200 with an empty or short body, framed as whole, after an upstream had stopped in the middle of an answer's head.

Cause: a stream that holds events and ends between two of them was complete whenever the body ended. The end of a connection is the end of a body only if nothing else states it; with no event of the second upstream it says no more than that the connection is gone.

Change: a resumed stream without an event is complete only if a length or chunks end it. Otherwise it is cut, and resumes again or is broken off.

--- a/internal/router/conns/conn.go
+++ b/internal/router/conns/conn.go
@@ -103,7 +103,7 @@
 // Release returns the connection to its pool if it can be reused, and otherwise closes it. It can be reused if the
 // response was read to its end, no data follows it, and the request was written whole.
 func (con *Conn) Release(rsp *http.Response) {
-	reusable := con.stopWatch() && !rsp.Close && delimited(rsp) && con.reader.Buffered() == 0 && con.requestWritten()
+	reusable := con.stopWatch() && !rsp.Close && Delimited(rsp) && con.reader.Buffered() == 0 && con.requestWritten()
 	if !reusable {
 		_ = con.socket.Close()
 		return
@@ -181,9 +181,9 @@
 	return ok && err == nil
 }
 
-// delimited reports whether the end of the response is marked by a length or by chunks, rather than by the end of
+// Delimited reports whether the end of the response is marked by a length or by chunks, rather than by the end of
 // the connection.
-func delimited(rsp *http.Response) bool {
+func Delimited(rsp *http.Response) bool {
 	return rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0
 }
 
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -151,7 +151,7 @@
 		switch {
 		case err == nil && len(buf) < maxEventBytes:
 			continue
-		case errors.Is(err, io.EOF) && len(buf) == 0 && act.events > 0:
+		case errors.Is(err, io.EOF) && act.events > 0 && endsComplete(rsp, buf, resumed):
 			con.Release(rsp)
 			act.status = rsp.StatusCode
 			return completed, place.Served
@@ -165,6 +165,12 @@
 	}
 }
 
+// endsComplete reports whether a stream that has ended is complete: it does not end inside an event. A resumed one without
+// an event, empty, is complete only if its length or its chunks say so: the upstream may have closed the connection for another reason.
+func endsComplete(rsp *http.Response, left []byte, empty bool) bool {
+	return len(left) == 0 && (!empty || conns.Delimited(rsp))
+}
+
 // writeEvents writes complete events to the caller and flushes them.
 func (act *activeCall) writeEvents(txt []byte, rsp *http.Response) (err error) {
 	now := act.sender.options.Timers.Now()
