Answer the requests of a stopping node before its grace period ends

Cause: whether a node takes requests was asked once, when their head arrived. Afterwards a request could wait for its body or for a second attempt until the end, and was passed on however little time was left. At the end the server closed all connections, and nothing answered their requests before.

Change: from the time at which new requests are refused, a call is sent only if its own deadline is before the end; otherwise it is refused as not run. 0.85 s before the end of the grace period all calls without a response are answered with what is known: 503 if they did not run, 504 and Unknown if they may have. Streams that have begun are broken off then.

This keeps the promise of both statuses: nothing is passed on that the node can't wait for, and what was passed on ends with an answer that promises nothing.

The product's own interface waits for all requests without a bound.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"log/slog"
 	"math"
@@ -165,6 +166,8 @@
 	ctl := http.NewResponseController(wri)
 	_ = ctl.SetReadDeadline(end)
 	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
+	stopped := han.sender.Stopped()
+	defer context.AfterFunc(stopped, func() { _ = ctl.SetReadDeadline(han.timers.Now()) })()
 	// The buffer grows with the bytes that arrive, not with the length that the caller announces.
 	var buf bytes.Buffer
 	buf.Grow(int(min(max(req.ContentLength, 0), initialBodyBuffer)) + bytes.MinRead)
@@ -172,6 +175,8 @@
 	cal.Body = buf.Bytes()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && stopped.Err() != nil:
+		return han.refuseNotReady("the node stops")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return router.Refuse(http.StatusRequestTimeout, router.CodeDeadline, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -43,6 +43,9 @@
 	balancerDrainTime = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period kept for the exit of the process.
 	exitMargin = 600 * time.Millisecond
+	// answerMargin is the part of the grace period before exitMargin in which the answers to calls that did not end are
+	// delivered.
+	answerMargin = 250 * time.Millisecond
 	// retryBudgetFactor scales RetryShare and RetryReserve, the retries that the settings allow all
 	// nodes together. Each node gets RetryReserve divided by the number of nodes (at least two);
 	// while the nodes' counts of these lag, the parts could otherwise add up to more than the whole.
@@ -363,7 +366,7 @@
 
 // shutDown stops the node gracefully: it becomes unready, serves until the load balancer has
 // taken it out, refuses new requests, and returns when no request is in flight or the grace period
-// is over.
+// is over. Requests that are in flight at its end are answered first.
 func (nod *Node) shutDown(srv *http.Server) {
 	nod.stopping.Store(true)
 	nod.mesh.SetStopping()
@@ -373,12 +376,14 @@
 	grace := nod.settings.Load().Platform.Grace
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
 	defer cancel()
+	end := nod.options.Timers.Now().Add(grace - exitMargin - answerMargin)
 	pause := min(balancerDrainTime, grace/3)
 	select {
 	case <-time.After(pause):
 	case <-ctx.Done():
 	}
 	nod.handler.refusing.Store(true)
+	nod.handler.sender.BeginStop(end)
 	if err := srv.Shutdown(ctx); err != nil {
 		nod.options.Log.Warn("requests cut at the end of the grace period", "Active", nod.handler.active.Load(), "Error", err.Error())
 	}
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -94,11 +94,17 @@
 	options Options
 	// buffered is the number of bytes of responses that are held beyond freeResponseBytes each.
 	buffered atomic.Int64
+	// end is when all calls are answered because the node stops; nil before it does. stopped ends then.
+	end     atomic.Pointer[time.Time]
+	stopped context.Context
+	stop    context.CancelFunc
 }
 
 // New returns a Sender.
 func New(opt Options) *Sender {
-	return &Sender{options: opt}
+	snd := &Sender{options: opt}
+	snd.stopped, snd.stop = context.WithCancel(context.Background())
+	return snd
 }
 
 // Serve sends a job to upstreams until one responds or no retry is allowed, and writes the response or a refusal.
@@ -108,6 +114,8 @@
 func (snd *Sender) Serve(ctx context.Context, job Job, wri http.ResponseWriter) (rep Report) {
 	snd.options.Budget.Get(job.Service).Earn(snd.options.RetryShare)
 	act := &activeCall{sender: snd, job: job, writer: wri, excluded: make(map[string]bool), digest: digest(job.Call), parts: sharedParts(job.Call.Prompt)}
+	ctx, release := snd.withStop(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, act.deadline())
 	defer cancel()
 	return act.run(ctx)
@@ -188,12 +196,17 @@
 		if act.isQuarantined() && !act.responseStarted {
 			return act.finishQuarantined()
 		}
+		if act.stopsBeforeDeadline() && !act.responseStarted {
+			return act.finishStopped()
+		}
 		sta := act.attempt(ctx)
 		switch {
 		case sta == completed:
 			act.sender.options.Guard.Clear(act.digest)
 			act.prove()
 			return act.report(router.Ran)
+		case errors.Is(context.Cause(ctx), errStopping):
+			return act.finishStopped()
 		case ctx.Err() != nil:
 			return act.finishExpired(ctx)
 		case !act.allowRetry(sta):
