Break the response off when its caller has left

Cause: the end of the caller's stream cancels the request's context. The node takes that for the caller's leaving, writes nothing more and returns from its handler, and net/http completes the response, as an empty success if none was begun.

Change: the report says that the caller left, and the handler aborts the response, which closes the connection. A connection that is closed promises nothing, so this is true for callers of both kinds.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -96,6 +96,10 @@
 		if ref == nil {
 			rep := han.sender.Serve(req.Context(), job, wri)
 			han.logReport(job, rep)
+			if rep.CallerLeft {
+				// To return would complete the response, as a success if none has begun.
+				panic(http.ErrAbortHandler)
+			}
 			return
 		}
 	}
--- a/internal/router/send/finish.go
+++ b/internal/router/send/finish.go
@@ -17,7 +17,9 @@
 	out := act.outcome()
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		act.reason = "caller left"
-		return act.report(out)
+		rep := act.report(out)
+		rep.CallerLeft = true
+		return rep
 	}
 	act.reason = "time over: " + act.reason
 	if act.responseStarted {
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -51,8 +51,11 @@
 type Report struct {
 	Outcome router.Outcome
 	// Status is the HTTP status sent to the caller; zero if the caller disconnected first.
-	Status   int
-	Upstream string
+	Status int
+	// CallerLeft is set if the call ended because the caller disconnected, or closed its sending side. Its connection must be
+	// closed, since the response is not complete.
+	CallerLeft bool
+	Upstream   string
 	// Attempts is the number of attempts that may have reached an upstream.
 	Attempts int
 	// FirstEvent is the time from the arrival of the call to the first event, or to the whole response if it is no
