Count only a refused connect as a crash by a request

Cause: after a broken connection the sender connects once more, and took any error of that for a crash of the upstream. A full upstream resets the connect as well, and three resets quarantine the request.

--- a/internal/router/send/crash.go
+++ b/internal/router/send/crash.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -46,16 +47,30 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// confirmCrash reports a crash if an upstream whose connection broke accepts no new connection. suspects holds the parts of the
-// prompt that may have crashed it.
+// showsCrash reports whether a failed connect to an upstream, right after a connection to it broke, shows that the upstream
+// crashed: nothing listens at its address any more. An upstream that resets connections is full, and one that does not respond
+// has a full backlog or is cut off.
+func showsCrash(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// confirmCrash reports a crash if an upstream whose connection broke refuses a new connection, and was not about to stop.
+// suspects holds the parts of the prompt that may have crashed it.
 func (snd *Sender) confirmCrash(cal *router.Call, digest string, ins router.Instance, suspects []uint64) {
-	if snd.probe(cal.ID, ins) {
+	leaving := snd.isLeaving(ins)
+	if err := snd.probe(cal.ID, ins); !showsCrash(err) || leaving {
 		return
 	}
 	snd.options.OnCrash(guard.Crash{Digest: digest, Upstream: ins.Key(), At: snd.options.Timers.Now(), Parts: suspects})
 	snd.options.Log.Info("upstream crashed with request", "Request", cal.ID, "Digest", digest, "Upstream", ins.ID, "Suspects", partNames(suspects))
 }
 
+// isLeaving reports whether an upstream stops as planned: it says so, its record says so, or its record was removed. The
+// record of an upstream that crashed stays for some seconds.
+func (snd *Sender) isLeaving(ins router.Instance) bool {
+	return snd.options.Terms.IsLeaving(ins) || !slices.ContainsFunc(snd.options.Roster.Available(ins.Service), ins.Same)
+}
+
 // sharedParts returns the hashes of the parts of a prompt that requests share: all but the last.
 func sharedParts(prompt []router.PromptPart) (parts []uint64) {
 	for _, prt := range prompt[:max(0, len(prompt)-1)] {
@@ -96,19 +111,19 @@
 	return grd.IsQuarantined(act.digest) || grd.HasQuarantinedPart(act.parts)
 }
 
-// probe reports whether an upstream accepts connections; one that does not is ejected, that is, excluded from
-// placement for a short time.
-func (snd *Sender) probe(request string, ins router.Instance) bool {
+// probe connects to an upstream and returns the error, which is nil if it accepts connections. One that does not is ejected,
+// that is, excluded from placement for a short time.
+func (snd *Sender) probe(request string, ins router.Instance) (err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	con, err := snd.options.Pools.Pool(ins.Key(), ins.Address).Dial(ctx)
 	if err == nil {
 		con.Close()
-		return true
+		return nil
 	}
 	snd.options.Balancer.Eject(ins)
 	snd.options.Log.Info("upstream not reached", "Request", request, "Upstream", ins.ID, "Error", err.Error())
-	return false
+	return err
 }
 
 // finishQuarantined refuses a request that crashed upstreams.
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -285,7 +285,7 @@
 	if sub.Err() != nil && ctx.Err() == nil {
 		// The attempt timed out. The probe ejects the upstream if it is down, so that other calls avoid it.
 		res = place.Failed
-		go act.sender.probe(act.job.Call.ID, ins)
+		go func() { _ = act.sender.probe(act.job.Call.ID, ins) }()
 	}
 	if sta != completed {
 		act.excluded[ins.Key()] = true
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -90,8 +90,14 @@
 
 // newSender returns a Sender to scripted upstreams.
 func newSender(grd *guard.Guard, scrs ...*fakes.ScriptedServer) *send.Sender {
+	snd, _ := newSenderAndRoster(grd, scrs...)
+	return snd
+}
+
+// newSenderAndRoster is newSender that also returns the roster with the records of the upstreams.
+func newSenderAndRoster(grd *guard.Guard, scrs ...*fakes.ScriptedServer) (snd *send.Sender, ros *roster.Roster) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	ros := roster.New(roster.Options{Timers: timer.Real{}, Codec: fakes.Codec{}, Log: log, OnRemove: func(router.Instance) {}})
+	ros = roster.New(roster.Options{Timers: timer.Real{}, Codec: fakes.Codec{}, Log: log, OnRemove: func(router.Instance) {}})
 	var upd follow.Update
 	for idx, scr := range scrs {
 		upd.Changed = append(upd.Changed, router.Record{
@@ -113,7 +119,7 @@
 		Permits:  newPermits(log),
 		OnCrash:  func(crs guard.Crash) { grd.Add(crs) },
 		OnAnswer: func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
-	})
+	}), ros
 }
 
 // sendCall sends a call with the given body and prompt.
