Send the request line to upstreams as it came

Cause: requests to upstreams were written by http.Request.Write, which builds the target from a URL. One that begins with two slashes was given to it as a path, so that its query and its escapes were escaped once more.

Change: the connection writes the request line and the header itself, and refuses a line with spaces or line ends in a part.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	go test ./platform -run '^$$' -fuzz '^FuzzInstance$$' -fuzztime $(INPUTS)
 	go test ./platform -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(INPUTS)
 	go test ./internal/router/edge -run '^$$' -fuzz '^FuzzDigest$$' -fuzztime $(INPUTS)
+	go test ./internal/router/edge -run '^$$' -fuzz '^FuzzTarget$$' -fuzztime $(INPUTS)
 	go test ./internal/router/send -run '^$$' -fuzz '^FuzzEvents$$' -fuzztime $(INPUTS)
 
 # race runs the tests of the router and of the adapter with the race detector, except for those of 300 nodes in process,
--- a/internal/router/conns/conn.go
+++ b/internal/router/conns/conn.go
@@ -2,12 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -73,17 +70,17 @@
 func (con *Conn) Send(ctx context.Context, req Request) (rsp *http.Response, err error) {
 	defer errs.Annotate(&err, "exchange")
 	con.stopWatch = context.AfterFunc(ctx, func() { _ = con.socket.Close() })
-	out := con.request(req)
 	con.writeDone = nil
 	if len(req.Body) > asyncBodyBytes {
 		con.writeDone = make(chan struct{})
 		go func() {
-			con.writeErr = con.write(out)
+			con.writeErr = con.write(req)
 			close(con.writeDone)
 		}()
-	} else if err := con.write(out); err != nil {
+	} else if err := con.write(req); err != nil {
 		return nil, err
 	}
+	out := &http.Request{Method: req.Method}
 	con.limit.limited, con.limit.left = true, maxHeadBytes
 	defer func() { con.limit.limited = false }()
 	for {
@@ -125,30 +122,38 @@
 	_ = con.socket.Close()
 }
 
-func (con *Conn) request(req Request) *http.Request {
-	adr := &url.URL{Opaque: req.Target}
-	if strings.HasPrefix(req.Target, "//") {
-		// net/http would take an opaque target with this prefix for a reference to a host.
-		adr = &url.URL{Path: req.Target}
-	}
-	out := &http.Request{Method: req.Method, Host: req.Host, URL: adr, Header: req.Header, ProtoMajor: 1, ProtoMinor: 1}
-	if len(req.Body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(req.Body))
-		out.ContentLength = int64(len(req.Body))
-	}
-	return out
-}
+// ownFields are the header fields that write sets itself, and ownFieldsAndAgent also has that of the agent, which is left out if it
+// is empty.
+var (
+	ownFields         = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+	ownFieldsAndAgent = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true, "User-Agent": true}
+)
 
-func (con *Conn) write(out *http.Request) (err error) {
+// write writes a request. http.Request.Write would change some targets, such as those that begin with two slashes.
+func (con *Conn) write(req Request) (err error) {
+	if strings.ContainsAny(req.Method+req.Target+req.Host, " \r\n") {
+		return errors.New("invalid request line or host")
+	}
 	wri, _ := writers.Get().(*bufio.Writer)
 	wri.Reset(con.socket)
 	defer func() {
 		wri.Reset(nil)
 		writers.Put(wri)
 	}()
-	if err := out.Write(wri); err != nil {
+	// The writer keeps its first error until Flush.
+	_, _ = wri.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
+	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
+		_, _ = wri.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	}
+	exclude := ownFields
+	if req.Header.Get("User-Agent") == "" {
+		exclude = ownFieldsAndAgent
+	}
+	if err := req.Header.WriteSubset(wri, exclude); err != nil {
 		return err
 	}
+	_, _ = wri.WriteString("\r\n")
+	_, _ = wri.Write(req.Body)
 	return wri.Flush()
 }
 
--- a/internal/router/send/full_test.go
+++ b/internal/router/send/full_test.go
@@ -68,8 +68,9 @@
 	const callers, rounds, connections, work = 48, 20, 4, 20 * time.Millisecond
 	grd, stop := guard.New(timer.Real{}, send.MaxCrashes)
 	defer stop()
-	var scrs []*fakes.ScriptedServer
-	for range 3 {
+	const upstreams = 3
+	scrs := make([]*fakes.ScriptedServer, 0, upstreams)
+	for range upstreams {
 		scrs = append(scrs, &fakes.ScriptedServer{Address: startBounded(t, connections, work)})
 	}
 	snd := newSender(grd, scrs...)
