Allow the last of the digests that may be missed to be late

In a large fleet a live node counted as lost for a moment.

Three digests in a row were lost, which four intervals should bear, and the fourth came 28 ms late, because senders are a little late each time. It happens only where four intervals exceed the minimum of 2 s: above some 250 nodes.

Change: half an interval more. The test loses the same digests in each run now: the random draws depended on the order of a map.

Before: TestLateDigestAfterLostOnes failed. After: passes, as all of the package.

--- a/internal/router/mesh/fleet_test.go
+++ b/internal/router/mesh/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,15 +139,21 @@
 func (fle *testFleet) send(nod *fleetNode, now time.Time) {
 	self := nod.options.Self
 	dig := &wire.Digest{Node: self.Name, FailureDomain: self.FailureDomain, Incarnation: nod.incarnation, Address: self.Address, Reads: true}
+	var recipients []string
 	for _, adrs := range nod.prepareDigest(dig) {
 		for _, adr := range adrs {
-			fle.sent++
-			oth := fle.byName[adr.String()]
-			if oth.dead || now.Before(oth.frozenUntil) || fle.cut(self.FailureDomain, oth.options.Self.FailureDomain) || fle.random.Float64() < fleetLoss {
-				continue
-			}
-			oth.acceptDigest(dig)
+			recipients = append(recipients, adr.String())
+		}
+	}
+	// In a fixed order, the same digests are lost in each run.
+	slices.Sort(recipients)
+	for _, adr := range recipients {
+		fle.sent++
+		oth := fle.byName[adr]
+		if oth.dead || now.Before(oth.frozenUntil) || fle.cut(self.FailureDomain, oth.options.Self.FailureDomain) || fle.random.Float64() < fleetLoss {
+			continue
 		}
+		oth.acceptDigest(dig)
 	}
 }
 
@@ -191,6 +198,30 @@
 	}
 }
 
+// TestLateDigestAfterLostOnes guards against a live node that counts as lost because all but the last of the digests that it may
+// miss were lost and that one is a little late, as the timers of a busy machine are.
+func TestLateDigestAfterLostOnes(t *testing.T) {
+	t.Parallel()
+	fle := newTestFleet(fleetSize)
+	nod, per := fle.nodes[0], fle.nodes[fleetDomains]
+	send := func() {
+		self := per.options.Self
+		dig := &wire.Digest{Node: self.Name, FailureDomain: self.FailureDomain, Incarnation: per.incarnation, Address: self.Address, Reads: true}
+		per.prepareDigest(dig)
+		nod.acceptDigest(dig)
+	}
+	send()
+	const late = 5 * time.Millisecond
+	for range missedDigests {
+		fle.timers.Advance(nod.digestInterval() + late)
+	}
+	nod.prepareDigest(&wire.Digest{})
+	send()
+	if fle.lost > 0 {
+		t.Errorf("the peer was lost after %d intervals", missedDigests)
+	}
+}
+
 // TestLargeFleetDetectsDeadNodes kills a part of a large fleet at once. It guards against dead nodes that stay live, live
 // ones that are lost in the course of it, and a line in the log for each pair of nodes.
 func TestLargeFleetDetectsDeadNodes(t *testing.T) {
--- a/internal/router/mesh/liveness.go
+++ b/internal/router/mesh/liveness.go
@@ -31,10 +31,12 @@
 }
 
 // updateTimeout updates how long a peer counts as live without being heard; the caller holds the lock. Other nodes are
-// assumed to send digests as often as this one. When many nodes die at once this one may notice earlier than others, which
+// assumed to send digests as often as this one, a little late at times: half an interval is left for the last of missedDigests.
+// When many nodes die at once this one may notice earlier than others, which
 // still send as rarely as before; so the timeout falls slowly.
 func (msh *Mesh) updateTimeout() {
-	msh.timeout = max(minPeerTimeout, missedDigests*msh.interval(), time.Duration(timeoutDecay*float64(msh.timeout)))
+	itv := msh.interval()
+	msh.timeout = max(minPeerTimeout, missedDigests*itv+itv/2, time.Duration(timeoutDecay*float64(msh.timeout)))
 }
 
 // isSilent reports whether a peer has been silent for the timeout; the caller holds the lock. Peers of another failure
