Tell started and returned nodes which requests crashed upstreams

Cause: the crashes of before that a starting node gets to know were only those that suspect parts of prompts. Those of requests were told to nobody who started later, and nothing was told to a node that had been cut off from its peers when they reported them.

Change: the history has the crashes of up to 100 requests, quarantined ones first and then the newest, with their age, and goes to a node that is heard again after it was lost as well, in datagrams of 100 crashes. A node keeps what it learnt as its own, so that it also survives a restart of all nodes in turn.

Before: TestStartedNodeRefusesQuarantinedRequest (node 0 of 6 ran the request) and TestReturnedNodeGetsHistory (0 senders, want 6) failed.

--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -136,12 +136,17 @@
 	pes.terms.AddPeer(sts)
 }
 
-// History returns the crashes that a node which has started needs to know.
+// History returns the crashes that a node which has started needs to know, those of parts of prompts and those of requests.
 func (pes *peerState) History() (sks []*wire.CrashStrike) {
 	now := pes.timers.Now()
+	age := func(crs guard.Crash) uint32 {
+		return uint32(max(0, min(now.Sub(crs.At).Milliseconds(), math.MaxUint32)))
+	}
 	for _, crs := range pes.guard.PartCrashes() {
-		age := uint32(min(now.Sub(crs.At).Milliseconds(), math.MaxUint32))
-		sks = append(sks, &wire.CrashStrike{Instance: crs.Upstream, Parts: crs.Parts, AgeMs: age})
+		sks = append(sks, &wire.CrashStrike{Instance: crs.Upstream, Parts: crs.Parts, AgeMs: age(crs)})
+	}
+	for _, crs := range pes.guard.RequestCrashes() {
+		sks = append(sks, &wire.CrashStrike{Request: crs.Digest, Instance: crs.Upstream, AgeMs: age(crs)})
 	}
 	return sks
 }
@@ -155,15 +160,15 @@
 			pes.guard.Answered(crs.GetAnswered(), now)
 			continue
 		}
+		at := now.Add(-time.Duration(crs.GetAgeMs()) * time.Millisecond)
 		if crs.GetRequest() == "" {
-			at := now.Add(-time.Duration(crs.GetAgeMs()) * time.Millisecond)
 			pes.guard.AddPartCrash(guard.Crash{Upstream: crs.GetInstance(), At: at, Parts: crs.GetParts()})
 			continue
 		}
 		if pes.guard.HasCrash(crs.GetRequest(), crs.GetInstance()) {
 			continue
 		}
-		pes.guard.Add(guard.Crash{Digest: crs.GetRequest(), Upstream: crs.GetInstance(), At: now, Parts: crs.GetParts()})
+		pes.guard.Add(guard.Crash{Digest: crs.GetRequest(), Upstream: crs.GetInstance(), At: at, Parts: crs.GetParts()})
 	}
 }
 
--- a/internal/router/edge/peers_test.go
+++ b/internal/router/edge/peers_test.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
@@ -159,6 +160,44 @@
 	}
 }
 
+// TestStartedNodeRefusesQuarantinedRequest guards against a node that runs a request again which crashed upstreams before the node
+// was started. All nodes are restarted in turn, so that each learns it from one that learned it itself.
+func TestStartedNodeRefusesQuarantinedRequest(t *testing.T) {
+	// Requests that crashed upstreams once fill the history, before and after the deadly one.
+	const others, nodes = 300, 6
+	fix := newPeerFixture(t)
+	crash := func(request string, num int) {
+		fix.recordCrash(guard.Crash{Digest: request, Upstream: fmt.Sprint("upstream-", num), At: fix.timers.Now()})
+		fix.timers.(*timer.Manual).Advance(2 * time.Second)
+	}
+	for num := range others {
+		crash(fmt.Sprint("before-", num), num)
+	}
+	for num := range send.MaxCrashes {
+		crash("deadly", num)
+	}
+	for num := range others / 2 {
+		crash(fmt.Sprint("after-", num), num)
+	}
+	for num := range nodes {
+		started := newPeerFixture(t)
+		started.timers.(*timer.Manual).Advance(fix.timers.Now().Sub(started.timers.Now()))
+		// Several nodes send the history, and a datagram may come twice.
+		for range 3 {
+			started.AddStrikes(fix.History())
+		}
+		if !started.guard.IsQuarantined("deadly") {
+			t.Fatalf("node %d runs the request", num)
+		}
+		for other := range others {
+			if started.guard.IsQuarantined(fmt.Sprint("before-", other)) {
+				t.Fatalf("node %d refuses a request after one crash", num)
+			}
+		}
+		fix = started
+	}
+}
+
 // FuzzDigest checks that no datagram of a peer ends the process or leaves a load behind that is no number.
 func FuzzDigest(f *testing.F) {
 	seed, err := proto.Marshal(&wire.Digest{
--- a/internal/router/guard/guard.go
+++ b/internal/router/guard/guard.go
@@ -1,7 +1,9 @@
 package guard
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +18,8 @@
 	// crashTTL is how long after its last crash a request stays suspect or quarantined.
 	crashTTL   = 30 * time.Minute
 	shardCount = 16
+	// maxReportedRequests bounds the requests of which a node that has started gets to know the crashes.
+	maxReportedRequests = 100
 )
 
 // Crash records that a request was running on an upstream when the upstream crashed.
@@ -96,6 +100,24 @@
 	return grd.parts.crashes()
 }
 
+// RequestCrashes returns the crashes of requests without parts: of those that are quarantined, then of those that crashed fewer
+// upstreams, the newest first, up to maxReportedRequests.
+func (grd *Guard) RequestCrashes() (css []Crash) {
+	var requests [][]Crash
+	for idx := range grd.shards {
+		shd := &grd.shards[idx]
+		shd.mut.Lock()
+		for _, old := range shd.crashes {
+			requests = append(requests, slices.Clone(old[max(0, len(old)-grd.maxCrashes):]))
+		}
+		shd.mut.Unlock()
+	}
+	slices.SortFunc(requests, func(one, two []Crash) int {
+		return cmp.Or(cmp.Compare(len(two), len(one)), two[len(two)-1].At.Compare(one[len(one)-1].At), strings.Compare(one[0].Digest, two[0].Digest))
+	})
+	return slices.Concat(requests[:min(len(requests), maxReportedRequests)]...)
+}
+
 // AddPartCrash records a crash that PartCrashes of another node returned.
 func (grd *Guard) AddPartCrash(crs Crash) {
 	grd.parts.add(crs)
--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -220,28 +221,32 @@
 	return true
 }
 
-// sendHistory sends the crashes of before to the sender of a digest if it has started a short time ago and this node is one of those that
-// do so. Otherwise requests that crash upstreams would run on each node again that was restarted.
+// sendHistory sends the crashes of before to the sender of a digest if it has started a short time ago or was cut off, and this
+// node is one of those that do so. Otherwise requests that crash upstreams would run again on each node that was restarted.
 func (msh *Mesh) sendHistory(soc *net.UDPConn, dig *wire.Digest) {
 	adr, due := msh.owesHistory(dig)
 	if !due {
 		return
 	}
-	if sks := msh.options.Load.History(); len(sks) > 0 {
+	for sks := range slices.Chunk(msh.options.Load.History(), strikesPerDatagram) {
 		msh.sendTo(soc, []*net.UDPAddr{adr}, &wire.Digest{Strikes: sks})
 	}
 }
 
 // owesHistory reports whether this node sends the crashes of before to the sender of a digest, and to which address: the digest is one of
-// its first, and few live nodes rank before this one by the hash of both names.
+// its first or the first after it was lost, and few live nodes rank before this one by the hash of both names.
 func (msh *Mesh) owesHistory(dig *wire.Digest) (adr *net.UDPAddr, due bool) {
 	msh.mut.Lock()
 	defer msh.mut.Unlock()
 	per := msh.peers[dig.GetNode()]
-	if per == nil || per.historySent == dig.GetIncarnation() || dig.GetSequence() > maxHistorySequence {
+	if per == nil {
+		return nil, false
+	}
+	started := per.historySent != dig.GetIncarnation() && dig.GetSequence() <= maxHistorySequence
+	if !started && !per.returned {
 		return nil, false
 	}
-	per.historySent = dig.GetIncarnation()
+	per.historySent, per.returned = dig.GetIncarnation(), false
 	own := xxhash.Sum64String(msh.options.Self.Name + dig.GetNode())
 	preceding := 0
 	for nam, oth := range msh.peers {
@@ -275,6 +280,7 @@
 		return false
 	}
 	isNew := !per.live || per.incarnation != dig.GetIncarnation()
+	per.returned = per.returned || !per.live && !per.lostAt.IsZero()
 	per.member = router.Member{Name: dig.GetNode(), Address: dig.GetAddress(), FailureDomain: dig.GetFailureDomain()}
 	per.address, per.incarnation, per.sequence = adr, dig.GetIncarnation(), dig.GetSequence()
 	per.lastDigest, per.live, per.copyVersions = msh.options.Timers.Now(), true, dig.GetVersions()
--- a/internal/router/mesh/members_test.go
+++ b/internal/router/mesh/members_test.go
@@ -367,6 +367,33 @@
 	}
 }
 
+// TestReturnedNodeGetsHistory guards against a node that runs requests which crash upstreams because it was cut off from its peers
+// when they reported the crashes.
+func TestReturnedNodeGetsHistory(t *testing.T) {
+	fle := newTestFleet(fleetSize)
+	fle.run(3 * time.Second)
+	cut := fle.nodes[7]
+	cut.frozenUntil = fle.timers.Now().Add(time.Hour)
+	fle.run(detectionLimit)
+	self := cut.options.Self
+	for num, want := range []int{historySenders, 0} {
+		dig := &wire.Digest{
+			Node: self.Name, FailureDomain: self.FailureDomain, Address: self.Address, Incarnation: cut.incarnation, Sequence: 1000 + uint64(num),
+		}
+		senders := 0
+		for _, nod := range fle.nodes {
+			if nod != cut && nod.acceptDigest(dig) {
+				if _, due := nod.owesHistory(dig); due {
+					senders++
+				}
+			}
+		}
+		if senders != want {
+			t.Errorf("digest %d after the cut: %d nodes send the history, want %d", num+1, senders, want)
+		}
+	}
+}
+
 // TestMembersOfRestoredStore guards against a node whose record the store lost when it was restored from a copy, and that does not
 // write it again, and against the removal of a record that has the version which another one had before.
 func TestMembersOfRestoredStore(t *testing.T) {
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -63,6 +63,8 @@
 	strikeRepeat = 400 * time.Millisecond
 	// historySenders is how many nodes send a node that has started the crashes of before.
 	historySenders = 6
+	// strikesPerDatagram bounds the crashes in one datagram to such a node.
+	strikesPerDatagram = 100
 	// maxHistorySequence is the number of the last digest of a node by which others find that it has started. A digest to other
 	// regions is one of ten, and some are lost.
 	maxHistorySequence = 3 * crossRegionEvery
@@ -176,6 +178,8 @@
 	nameHash uint64
 	// historySent is the incarnation of the peer for which this node has decided whether to send the crashes of before.
 	historySent int64
+	// returned is set when the peer is heard again after it was lost, until this node has decided the same.
+	returned bool
 	// copyVersions holds the version of the newest change in each copy of the peer, by kind.
 	copyVersions map[string]int64
 }
