Keep what a leaving upstream stated when its record is removed

Its record had been removed, and a late heartbeat wrote it once more.

Cause: the statements of an upstream were forgotten with its record, although they hold for its lifetime.

Change: that an incarnation leaves, and until when it accepts no requests, is kept for 10 minutes after the removal of its record. A rate limit is still forgotten, since each answer states it anew.

--- a/internal/router/terms/terms.go
+++ b/internal/router/terms/terms.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,9 @@
 	recentTime = 2 * time.Second
 	// maxEntries bounds the upstreams of which peers report terms.
 	maxEntries = 20_000
+	// formerTTL is how long the statements of an incarnation are kept after it was removed. A late heartbeat of one that leaves
+	// brings its record back.
+	formerTTL = 10 * time.Minute
 )
 
 // Registry holds the terms of upstreams. It is safe for concurrent use.
@@ -45,6 +49,8 @@
 	leavingAt  time.Time
 	// pausedUntil is until when the upstream accepts no requests from this node.
 	pausedUntil time.Time
+	// keptUntil is when the entry of an incarnation that was removed may be dropped; zero before.
+	keptUntil time.Time
 	// sends counts the requests of this node since loggedAt.
 	sends    int
 	loggedAt time.Time
@@ -167,15 +173,22 @@
 	}
 }
 
-// Remove forgets an incarnation that ended.
+// Remove forgets the rate limit of an incarnation whose record was removed. That it is leaving, or accepts no requests for some
+// time, holds for as long as it lives, so that is kept for formerTTL: the record may come back.
 func (reg *Registry) Remove(ins router.Instance) {
 	reg.mut.Lock()
 	defer reg.mut.Unlock()
+	now := reg.timers.Now()
 	if ent := reg.entries[ins.Hash()]; ent != nil {
 		reg.setLimit(ent, 0, ent.statedAt, false)
-		delete(reg.entries, ins.Hash())
-		reg.known.Store(int64(len(reg.entries)))
+		ent.keptUntil = now
+		if ins.Born != 0 && (ent.leaving || ent.pausedUntil.After(now)) {
+			// Without a start time, a new incarnation would have the same key.
+			ent.keptUntil = now.Add(formerTTL)
+		}
 	}
+	maps.DeleteFunc(reg.entries, func(_ uint64, ent *entry) bool { return !ent.keptUntil.IsZero() && !ent.keptUntil.After(now) })
+	reg.known.Store(int64(len(reg.entries)))
 }
 
 // Stated is a rate limit that an upstream stated or lifted, or its statement that it is leaving.
--- a/internal/router/terms/terms_test.go
+++ b/internal/router/terms/terms_test.go
@@ -152,3 +152,40 @@
 		})
 	}
 }
+
+// TestTermsSurviveRecord guards against new requests to an upstream that stated that it is leaving, or that it accepts none for some
+// time, after its record was removed and a late heartbeat brought it back.
+func TestTermsSurviveRecord(t *testing.T) {
+	ins := router.Instance{ID: "up", Born: 1}
+	const pause = time.Minute
+	cases := map[string]struct {
+		removed   router.Instance
+		later     time.Duration
+		leaving   bool
+		pauseLeft time.Duration
+	}{
+		"the same incarnation":               {removed: ins, later: 10 * time.Second, leaving: true, pauseLeft: pause - 10*time.Second},
+		"long after":                         {removed: ins, later: 2 * formerTTL},
+		"an upstream without a start time":   {removed: router.Instance{ID: "up"}, later: time.Second},
+		"another upstream was removed since": {removed: ins, later: formerTTL / 2, leaving: true},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			tms := timer.NewManual(time.Unix(0, 0))
+			reg := New(tms, slog.New(slog.DiscardHandler))
+			reg.Observe(cas.removed, router.UpstreamTerms{Leaving: true, RetryAfter: pause}, tms.Now())
+			reg.Remove(cas.removed)
+			tms.Advance(cas.later)
+			reg.Remove(router.Instance{ID: "other", Born: 1})
+			if got := reg.IsLeaving(cas.removed); got != cas.leaving {
+				t.Errorf("leaving: %t, want %t", got, cas.leaving)
+			}
+			if got := reg.PauseLeft(cas.removed); got != cas.pauseLeft {
+				t.Errorf("pause left: %s, want %s", got, cas.pauseLeft)
+			}
+			if len(reg.entries) > 1 || !cas.leaving && len(reg.entries) > 0 {
+				t.Errorf("%d entries", len(reg.entries))
+			}
+		})
+	}
+}
