Specify the operation under heavy load, with its messages and settings

The interfaces, the messages between nodes and the settings that several parts share come first, so that the parts can be built side by side. Nothing uses them yet: behavior is unchanged.

--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -158,6 +158,32 @@
 	RetryReserve float64
 	// MemoryMebibytes is the memory limit of the process; zero means no limit.
 	MemoryMebibytes int
+	// FileDescriptors is the limit of open file descriptors of the process; zero means that it is unknown.
+	FileDescriptors int
+	// Duties configures the calls to the platform that one node at a time may make.
+	Duties Duties
+}
+
+// Duties holds the settings of the calls to the platform that one node at a time may make.
+type Duties struct {
+	// Address is where the platform accepts the calls; empty means that there are none.
+	Address string
+	// Kinds names the duties in the platform's terms.
+	Kinds []string
+	// CallsPerSecond is the maximum rate of the calls of all nodes together.
+	CallsPerSecond float64
+	// Lease is how long a node holds the duties without renewing its lease.
+	Lease time.Duration
+	// Thaw is how long after the thaw of a node its calls may still arrive.
+	Thaw time.Duration
+	// Window is the length of a usage window.
+	Window time.Duration
+	// ReportWithin is how long after the end of its window a usage report is due.
+	ReportWithin time.Duration
+	// Tolerance is the relative error up to which a usage count is right.
+	Tolerance float64
+	// FenceChecked is set if the platform rejects calls with a fencing token below one that it has seen.
+	FenceChecked bool
 }
 
 // TLS names the files of the node's certificate, of its key and of the certificate authority of its peers.
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -118,6 +118,8 @@
 	Connections int
 	// Engine is nil for plain services.
 	Engine *EngineSpec
+	// Scaling is nil if the number of upstreams is not ordered by the router.
+	Scaling *ScalingSpec
 }
 
 // CallerLimits is the maximum size of callers' requests in bytes.
@@ -145,6 +147,8 @@
 	FailureDomain string
 	Slots         int
 	Draining      bool
+	// Spot is set for upstreams that the platform may reclaim at short notice.
+	Spot bool
 	// Born is the Unix time of the start in milliseconds; a restart keeps the ID and changes Born.
 	Born int64
 	// Sequence numbers what the incarnation wrote about itself; it grows.
