Tell the fleet which upstreams are gone, and send their calls elsewhere

A call on a route with one attempt was refused after an answer with status 421, although it had not been executed: another incarnation had the address of the upstream that was chosen. Each node also found out by its own calls which upstreams had crashed.

The call now goes to another upstream, with a token of the retry budget, up to two times. Digests tell the other nodes which upstreams were replaced at their address or had no listener there.

--- a/internal/fakes/dialect.go
+++ b/internal/fakes/dialect.go
@@ -65,6 +65,7 @@
 	chk = router.AnswerCheck{
 		Unidentified: rsp.Header.Get(HeaderID) == "",
 		NotRun:       rsp.Header.Get(HeaderNotRun) != "",
+		Replaced:     rsp.StatusCode == http.StatusMisdirectedRequest,
 		Relayable:    rsp.Header.Get(HeaderSigned) != "",
 	}
 	chk.Mismatched = rsp.Header.Get(HeaderID) != cal.ID && (!chk.Unidentified || !chk.NotRun)
--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -88,7 +88,7 @@
 		dig.Demands = append(dig.Demands, msg)
 	}
 	for _, sta := range pes.terms.Recent() {
-		dig.Terms = append(dig.Terms, &wire.StatedTerms{Instance: sta.Instance, RateLimit: sta.RateLimit, AgeMs: uint32(sta.Age.Milliseconds()), Leaving: sta.Leaving})
+		dig.Terms = append(dig.Terms, &wire.StatedTerms{Instance: sta.Instance, RateLimit: sta.RateLimit, AgeMs: uint32(sta.Age.Milliseconds()), Leaving: sta.Leaving, Gone: sta.Gone, Refuses: sta.Refuses})
 	}
 	dig.Strikes = append(dig.Strikes, pes.drainStrikes()...)
 	for _, plc := range pes.balancer.DrainPlacements() {
@@ -130,7 +130,10 @@
 	sts := make([]terms.Stated, 0, len(msgs))
 	for _, msg := range msgs {
 		if lim := msg.GetRateLimit(); lim >= 0 && !math.IsInf(lim, 0) {
-			sts = append(sts, terms.Stated{Instance: msg.GetInstance(), RateLimit: lim, Age: time.Duration(msg.GetAgeMs()) * time.Millisecond, Leaving: msg.GetLeaving()})
+			sts = append(sts, terms.Stated{Instance: msg.GetInstance(), RateLimit: lim, Age: time.Duration(msg.GetAgeMs()) * time.Millisecond, Leaving: msg.GetLeaving(), Gone: msg.GetGone(), Refuses: msg.GetRefuses()})
+		}
+		if msg.GetRefuses() {
+			pes.balancer.EjectByPeer(msg.GetInstance(), time.Duration(msg.GetAgeMs())*time.Millisecond)
 		}
 	}
 	pes.terms.AddPeer(sts)
--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -82,6 +82,22 @@
 	lod.eject(bal.options.Timers.Now())
 }
 
+// EjectByPeer stops sending calls to an incarnation at whose address a peer found no listener, for peerEjection from then on. After that
+// one call probes it. The id is the hash of the incarnation's key.
+func (bal *Balancer) EjectByPeer(id uint64, age time.Duration) {
+	bal.mut.Lock()
+	lod := bal.byID[id]
+	bal.mut.Unlock()
+	if lod == nil {
+		return
+	}
+	lod.mut.Lock()
+	defer lod.mut.Unlock()
+	if until := bal.options.Timers.Now().Add(peerEjection - age); until.After(lod.ejectedUntil) && age < peerEjection {
+		lod.ejectedUntil, lod.failureStreak = until, max(1, lod.failureStreak)
+	}
+}
+
 // LocalLoads returns what this node has in flight, by the hash of the incarnation's key.
 func (bal *Balancer) LocalLoads() (infs map[uint64]InFlight) {
 	bal.mut.Lock()
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -12,6 +12,8 @@
 	// minEjection and maxEjection bound the backoff of a failed upstream; crashed ones are back within seconds.
 	minEjection = 250 * time.Millisecond
 	maxEjection = 4 * time.Second
+	// peerEjection is how long an upstream is ejected after a peer found no listener at its address.
+	peerEjection = time.Second
 	// failureWeight is the weight of the newest result in an upstream's failure rate.
 	failureWeight = 0.2
 	// defaultRate is the assumed prefill rate of an engine before the first observation, in tokens per millisecond.
--- a/internal/router/place/place_test.go
+++ b/internal/router/place/place_test.go
@@ -441,3 +441,25 @@
 		}
 	}
 }
+
+// TestUpstreamRefusedAtPeerIsEjected guards against calls of each node of a fleet to an upstream that has crashed, and against a
+// repeated report that ejects an upstream for longer.
+func TestUpstreamRefusedAtPeerIsEjected(t *testing.T) {
+	fix := newFixture(2)
+	req := place.Request{Target: target}
+	dead, rsv := fix.choose(t, req)
+	rsv.Release(place.Served)
+	for range 3 {
+		fix.EjectByPeer(dead.Hash(), 100*time.Millisecond)
+		if got, rsv := fix.choose(t, req); got.Same(dead) {
+			t.Error("chosen although a peer found no listener")
+		} else {
+			rsv.Release(place.Served)
+		}
+	}
+	fix.timers.Advance(time.Second)
+	fix.EjectByPeer(dead.Hash(), time.Second)
+	if got, _ := fix.choose(t, req); !got.Same(dead) {
+		t.Error("not probed after the ejection")
+	}
+}
--- a/internal/router/send/attempt.go
+++ b/internal/router/send/attempt.go
@@ -30,6 +30,9 @@
 		if ctx.Err() == nil {
 			res = place.Unreachable
 		}
+		if showsCrash(err) {
+			opt.Terms.ObserveRefusal(ins)
+		}
 		return notSent
 	}
 	act.upstream = ins.ID
@@ -50,7 +53,12 @@
 	if sta != completed {
 		act.excluded[ins.Key()] = true
 	}
-	if sta != completed && sta != rejected {
+	if sta == replaced {
+		// Route.Attempts bounds the upstreams that execute a call, and the one that was chosen was not reached.
+		act.attempts--
+		act.replacements++
+	}
+	if sta != completed && sta != rejected && sta != replaced {
 		act.mayHaveRun = true
 	}
 	return sta
@@ -118,6 +126,11 @@
 	case chk.Mismatched:
 		con.Close()
 		return act.failAttempt(ctx, "answer to another request", ins, errors.Errorf("status %d", rsp.StatusCode))
+	case chk.Replaced:
+		opt.Terms.ObserveGone(ins)
+		act.drainRejection(con, rsp)
+		act.logFailure("replaced", ins, errors.Errorf("status %d", rsp.StatusCode))
+		return replaced, place.Rejected
 	case chk.NotRun:
 		act.drainRejection(con, rsp)
 		act.logFailure("rejected", ins, errors.Errorf("status %d", rsp.StatusCode))
--- a/internal/router/send/choose.go
+++ b/internal/router/send/choose.go
@@ -123,7 +123,7 @@
 func (act *activeCall) commonPause(list []router.Instance) (pause time.Duration) {
 	trs := act.sender.options.Terms
 	for _, ins := range list {
-		if trs.IsLeaving(ins) {
+		if trs.IsLeaving(ins) || trs.IsGone(ins) {
 			continue
 		}
 		left := trs.PauseLeft(ins)
@@ -182,7 +182,7 @@
 // isUsable reports whether no attempt of the call failed at an upstream and the upstream accepts new requests.
 func (act *activeCall) isUsable(ins router.Instance) bool {
 	trs := act.sender.options.Terms
-	return !act.excluded[ins.Key()] && !trs.IsLeaving(ins) && trs.PauseLeft(ins) == 0
+	return !act.excluded[ins.Key()] && !trs.IsLeaving(ins) && !trs.IsGone(ins) && trs.PauseLeft(ins) == 0
 }
 
 func (act *activeCall) isLimited(ins router.Instance) bool {
--- a/internal/router/send/crash.go
+++ b/internal/router/send/crash.go
@@ -122,6 +122,9 @@
 		return nil
 	}
 	snd.options.Balancer.Eject(ins)
+	if showsCrash(err) {
+		snd.options.Terms.ObserveRefusal(ins)
+	}
 	snd.options.Log.Info("upstream not reached", "Request", request, "Upstream", ins.ID, "Error", err.Error())
 	return err
 }
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -22,6 +22,8 @@
 const (
 	// maxConnectFailures is the number of failed connects after which a call is no longer retried.
 	maxConnectFailures = 4
+	// maxReplacements is how often a call is sent to another upstream because the one that was chosen is no longer at its address.
+	maxReplacements = 2
 	// atMostOnceMaxIdle bounds how long a connection may have been idle before it carries a call that may run at most
 	// once: a reset of a stale connection leaves the outcome of the call unknown.
 	atMostOnceMaxIdle = 2 * time.Second
@@ -136,6 +138,8 @@
 	unknown
 	// completed means that the upstream's whole response was relayed to the caller.
 	completed
+	// replaced means that another incarnation answered at the upstream's address and did not execute the call.
+	replaced
 	// interrupted means that a stream failed after some of its events were relayed to the caller.
 	interrupted
 )
@@ -154,6 +158,8 @@
 	excluded map[string]bool
 	// attempts counts attempts that got a connection; connectFailures counts those that got none.
 	attempts, connectFailures int
+	// replacements counts attempts that ended as replaced.
+	replacements int
 	// mayHaveRun is set once an attempt ended in a state other than notSent and rejected.
 	mayHaveRun      bool
 	upstream        string
@@ -225,6 +231,8 @@
 	switch sta {
 	case notSent:
 		return !act.outOfUpstreams() && act.connectFailures < maxConnectFailures
+	case replaced:
+		return !act.outOfUpstreams() && act.replacements <= maxReplacements && act.spendRetryToken()
 	case rejected:
 		return act.attempts < rou.Attempts && act.spendRetryToken()
 	case unknown:
--- a/internal/router/terms/terms.go
+++ b/internal/router/terms/terms.go
@@ -21,6 +21,8 @@
 	// formerTTL is how long the statements of an incarnation are kept after it was removed. A late heartbeat of one that leaves
 	// brings its record back.
 	formerTTL = 10 * time.Minute
+	// goneTTL is how long an incarnation whose address another one has gets no calls. Its record is removed by then.
+	goneTTL = 10 * time.Second
 )
 
 // Registry holds the terms of upstreams. It is safe for concurrent use.
@@ -49,6 +51,10 @@
 	leavingAt  time.Time
 	// pausedUntil is until when the upstream accepts no requests from this node.
 	pausedUntil time.Time
+	// goneAt is when an answer showed that another incarnation has the address, and refusedAt when nothing listened there; see own for
+	// ownGone and ownRefused.
+	goneAt, refusedAt   time.Time
+	ownGone, ownRefused bool
 	// keptUntil is when the entry of an incarnation that was removed may be dropped; zero before.
 	keptUntil time.Time
 	// sends counts the requests of this node since loggedAt.
@@ -149,6 +155,44 @@
 	return max(0, ent.pausedUntil.Sub(reg.timers.Now()))
 }
 
+// ObserveGone records that another incarnation answered at the address of this one.
+func (reg *Registry) ObserveGone(ins router.Instance) {
+	reg.mut.Lock()
+	defer reg.mut.Unlock()
+	ent := reg.entry(ins.Hash())
+	if now := reg.timers.Now(); now.Sub(ent.goneAt) >= goneTTL {
+		ent.goneAt, ent.ownGone = now, true
+		reg.log.Info("upstream replaced at its address", "Upstream", ins.ID, "Service", ins.Service, "Address", ins.Address)
+	}
+}
+
+// ObserveRefusal records that nothing listened at the address of an incarnation.
+func (reg *Registry) ObserveRefusal(ins router.Instance) {
+	reg.mut.Lock()
+	defer reg.mut.Unlock()
+	ent := reg.entry(ins.Hash())
+	ent.refusedAt, ent.ownRefused = reg.timers.Now(), true
+}
+
+// IsGone reports whether another incarnation has the address of this one.
+func (reg *Registry) IsGone(ins router.Instance) bool {
+	if reg.known.Load() == 0 {
+		return false
+	}
+	reg.mut.Lock()
+	defer reg.mut.Unlock()
+	ent := reg.entries[ins.Hash()]
+	return ent != nil && !ent.goneAt.IsZero() && reg.timers.Now().Sub(ent.goneAt) < goneTTL
+}
+
+// entry returns the entry of an incarnation and creates it if necessary; the lock is held.
+func (reg *Registry) entry(id uint64) (ent *entry) {
+	if ent = reg.entries[id]; ent == nil {
+		ent = reg.add(id)
+	}
+	return ent
+}
+
 // RateLimit returns the requests per second that an incarnation accepts from all nodes together; zero means no limit.
 func (reg *Registry) RateLimit(ins router.Instance) (limit float64) {
 	reg.mut.Lock()
@@ -191,19 +235,22 @@
 	reg.known.Store(int64(len(reg.entries)))
 }
 
-// Stated is a rate limit that an upstream stated or lifted, or its statement that it is leaving.
+// Stated is a rate limit that an upstream stated or lifted, its statement that it is leaving, or that it was not found at its address.
 type Stated struct {
 	// Instance is the hash of the key of the incarnation.
 	Instance uint64
 	// Leaving is set if the incarnation is about to stop; RateLimit has no meaning then.
 	Leaving bool
+	// Gone is set if another incarnation has the address, and Refuses if nothing listened there. All other fields but Age have no
+	// meaning then.
+	Gone, Refuses bool
 	// RateLimit is in requests per second; zero means that the limit was lifted.
 	RateLimit float64
 	// Age is how long ago the answer arrived.
 	Age time.Duration
 }
 
-// Recent returns what upstreams stated in answers to this node within recentTime.
+// Recent returns what this node heard of upstreams from themselves within recentTime.
 func (reg *Registry) Recent() (sts []Stated) {
 	reg.mut.Lock()
 	defer reg.mut.Unlock()
@@ -215,6 +262,12 @@
 		if age := now.Sub(ent.leavingAt); ent.ownLeaving && age <= recentTime {
 			sts = append(sts, Stated{Instance: id, Leaving: true, Age: age})
 		}
+		if age := now.Sub(ent.goneAt); ent.ownGone && age <= recentTime {
+			sts = append(sts, Stated{Instance: id, Gone: true, Age: age})
+		}
+		if age := now.Sub(ent.refusedAt); ent.ownRefused && age <= recentTime {
+			sts = append(sts, Stated{Instance: id, Refuses: true, Age: age})
+		}
 	}
 	return sts
 }
@@ -227,7 +280,10 @@
 	for _, sta := range sts {
 		at := now.Add(-sta.Age)
 		ent := reg.entries[sta.Instance]
-		if ent == nil && (sta.RateLimit == 0 && !sta.Leaving || len(reg.entries) >= maxEntries) {
+		if sta.Refuses {
+			continue
+		}
+		if ent == nil && (sta.RateLimit == 0 && !sta.Leaving && !sta.Gone || len(reg.entries) >= maxEntries) {
 			continue
 		}
 		if ent == nil {
@@ -237,6 +293,12 @@
 			ent.leaving = true
 			continue
 		}
+		if sta.Gone {
+			if at.After(ent.goneAt) {
+				ent.goneAt = at
+			}
+			continue
+		}
 		if at.After(ent.statedAt) {
 			reg.setLimit(ent, sta.RateLimit, at, false)
 		}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -216,6 +216,8 @@
 	Unidentified bool
 	// NotRun is set when the upstream states that it did not execute the call.
 	NotRun bool
+	// Replaced is set with NotRun when the answer comes from another incarnation, which has the address now.
+	Replaced bool
 	// Relayable is set when the answer may be forwarded to the caller.
 	Relayable bool
 	// Terms is what the upstream states about itself.
