Drop the entries of upstreams that are gone

An absence that a node notices, or hears of from a peer, after the upstream's record was removed made an entry that nothing removed. At 20,000 of them a node no longer accepts the terms that peers report. Entries that hold nothing else are now dropped when the absence no longer counts; TestEntriesOfGoneUpstreamsExpire fails without it.

--- a/internal/router/terms/gone_test.go
+++ b/internal/router/terms/gone_test.go
@@ -69,3 +69,36 @@
 		})
 	}
 }
+
+// TestEntriesOfGoneUpstreamsExpire guards against entries of crashed upstreams that accumulate, until no more terms are accepted from peers.
+func TestEntriesOfGoneUpstreamsExpire(t *testing.T) {
+	ins := router.Instance{ID: "up", Born: 1}
+	cases := map[string]struct {
+		play func(reg *Registry)
+		want int
+	}{
+		"replaced":    {play: func(reg *Registry) { reg.ObserveGone(ins) }},
+		"refused":     {play: func(reg *Registry) { reg.ObserveRefusal(ins) }},
+		"from a peer": {play: func(reg *Registry) { reg.AddPeer([]Stated{{Instance: ins.Hash(), Gone: true}}) }},
+		"leaving": {
+			play: func(reg *Registry) { reg.AddPeer([]Stated{{Instance: ins.Hash(), Leaving: true}}) },
+			want: 1,
+		},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			tms := timer.NewManual(time.Unix(1000, 0))
+			reg := New(tms, slog.New(slog.DiscardHandler))
+			cas.play(reg)
+			reg.Recent()
+			if got := len(reg.entries); got != 1 {
+				t.Errorf("%d entries at once", got)
+			}
+			tms.Advance(goneTTL + time.Second)
+			reg.Recent()
+			if got := len(reg.entries); got != cas.want {
+				t.Errorf("%d entries, want %d", got, cas.want)
+			}
+		})
+	}
+}
--- a/internal/router/terms/terms.go
+++ b/internal/router/terms/terms.go
@@ -256,6 +256,10 @@
 	defer reg.mut.Unlock()
 	now := reg.timers.Now()
 	for id, ent := range reg.entries {
+		if ent.isOver(now) {
+			delete(reg.entries, id)
+			continue
+		}
 		if age := now.Sub(ent.statedAt); ent.own && age <= recentTime {
 			sts = append(sts, Stated{Instance: id, RateLimit: ent.rateLimit, Age: age})
 		}
@@ -269,9 +273,17 @@
 			sts = append(sts, Stated{Instance: id, Refuses: true, Age: age})
 		}
 	}
+	reg.known.Store(int64(len(reg.entries)))
 	return sts
 }
 
+// isOver reports whether an entry holds nothing but an absence of its upstream that no longer counts. Such entries are not always
+// removed with the upstream's record: the absence may be noticed or heard of after it.
+func (ent *entry) isOver(now time.Time) bool {
+	stated := !ent.statedAt.IsZero() || ent.leaving || !ent.pausedUntil.IsZero() || !ent.keptUntil.IsZero()
+	return !stated && now.Sub(ent.goneAt) >= goneTTL && now.Sub(ent.refusedAt) > recentTime
+}
+
 // AddPeer records what a peer heard of upstreams unless this node has heard newer.
 func (reg *Registry) AddPeer(sts []Stated) {
 	reg.mut.Lock()
