--- a/internal/router/duties.go
+++ b/internal/router/duties.go
@@ -77,6 +77,13 @@
 	Scale(ctx context.Context, fen Fence, ord ScaleOrder) (err error)
 }
 
+// FencedCaller is a DutyCaller that checks the lease itself, right before the bytes of a call are written.
+type FencedCaller interface {
+	DutyCaller
+	// SetLease sets the lease. Calls that it does not cover return ErrCondition and are not sent.
+	SetLease(les DutyLease)
+}
+
 // ScalingSpec bounds the number of upstreams of a service that are ordered from the platform.
 type ScalingSpec struct {
 	// Min and Max bound the number of upstreams in each failure domain, of both kinds together.
