Validate the settings of the duties

Cause: a node with a lease of zero or a report that is due before a new holder can act would start and break the platform's rules.

--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -130,6 +130,7 @@
 		chk.name(joinPath(pth, "Region"), dom.Region)
 	}
 	chk.positive("Platform.Grace", plt.Grace)
+	chk.duties(plt.Duties)
 	chk.fraction("Platform.RetryShare", plt.RetryShare)
 	if plt.RetryReserve < 0 {
 		chk.errorf("Platform.RetryReserve", "%g must not be below 0", plt.RetryReserve)
