Start the duties with a node whose settings name their address

Cause: the lease and the calls were not connected to a node.

The lease starts with the node and is released when the node begins to stop. Without Platform.Duties.Address none of it is built: no call, no row, no timer.

--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -5,10 +5,12 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/logs"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/duty"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/edge"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/node"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
@@ -24,6 +26,10 @@
 // garbage is collected more often. The rest is for sockets.
 const memoryShare = 0.8
 
+// dutyStoreTimeout is how long the store's answer about the lease of the duties may take to begin. A slow store takes up to 0.6 s, and
+// a renewal that failed must be repeated within the lease.
+const dutyStoreTimeout = time.Second
+
 type serveCommand struct {
 	documentOptions
 
@@ -54,15 +60,21 @@
 		if set.Platform.MemoryMebibytes > 0 {
 			debug.SetMemoryLimit(int64(memoryShare * float64(set.Platform.MemoryMebibytes<<20)))
 		}
-		return edge.New(edge.Options{
+		str := plat.NewStore(set.Platform.Store)
+		opt := edge.Options{
 			Settings: set,
 			Timers:   timer.Real{},
 			Log:      log,
-			Source:   plat.NewStore(set.Platform.Store),
+			Source:   str,
 			Codec:    plat.Codec{},
 			Dialect:  plat.Dialect{},
 			Reload:   func() (conf.Node, error) { return conf.LoadNode(cmd.Node) },
-		}).Run()
+		}
+		if dut := set.Platform.Duties; dut.Address != "" {
+			opt.Rows = plat.NewLeases(str, dutyStoreTimeout)
+			opt.Duties = plat.NewDuties(dut.Address, dut.CallsPerSecond, duty.CallTimeout)
+		}
+		return edge.New(opt).Run()
 	}
 	nod, err := node.New(node.Options{
 		Settings:    set,
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -68,6 +68,9 @@
 	Source   router.RecordStore
 	Codec    router.Codec
 	Dialect  router.Dialect
+	// Rows and Duties are for the platform's duty calls; they are used if Settings.Platform.Duties names an address.
+	Rows   router.RowStore
+	Duties router.DutyCaller
 	// Reload reads the settings again, on SIGHUP.
 	Reload func() (set conf.Node, err error)
 }
@@ -85,6 +88,8 @@
 	meter     *meter.Meter
 	stopping  atomic.Bool
 	closers   []func()
+	// duties is nil if the node makes no duty calls.
+	duties *dutyParts
 	// settings are the newest settings. Of a reload, only Platform.RetryReserve and Platform.Grace
 	// take effect; all other changes need a restart of the process.
 	settings atomic.Pointer[conf.Node]
@@ -135,6 +140,7 @@
 	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
 	met := meter.New(set.Name, opt.Log)
 	nod.meter = met
+	nod.duties = nod.newDuties()
 	nod.handler = &Handler{
 		meter:      met,
 		routes:     meter.NewRoutes(met),
@@ -257,6 +263,8 @@
 	defer nod.options.Timers.Every(retryBudgetInterval, func(time.Time) {
 		nod.budget.SetMaxTokens(retryBudgetFactor * nod.settings.Load().Platform.RetryReserve / float64(divisor(nod.mesh.FleetSize())))
 	})()
+	nod.duties.start()
+	defer nod.duties.stop()
 	nod.addSignalHandler(&grp, srv)
 	nod.options.Log.Info("node started", "Listen", set.Listen, "FailureDomain", set.FailureDomain, "Region", set.Region)
 	err = grp.Run()
@@ -371,6 +379,7 @@
 	nod.stopping.Store(true)
 	nod.mesh.SetStopping()
 	go nod.mesh.Deregister(context.Background())
+	go nod.duties.stop()
 	nod.handler.closeConns.Store(true)
 	nod.options.Log.Info("node stopping", "Active", nod.handler.active.Load())
 	grace := nod.settings.Load().Platform.Grace
