--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -5,10 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -335,43 +332,6 @@
 	return srv, nil
 }
 
-// addSignalHandler makes SIGTERM and SIGINT stop the node gracefully, and SIGHUP reload its
-// settings.
-func (nod *Node) addSignalHandler(grp *run.Group, srv *http.Server) {
-	sgs := make(chan os.Signal, 2)
-	signal.Notify(sgs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	interrupted := make(chan struct{})
-	grp.Add(func() error {
-		for {
-			select {
-			case sig := <-sgs:
-				if sig == syscall.SIGHUP {
-					nod.reload()
-					continue
-				}
-				nod.shutDown(srv)
-				return errStopped
-			case <-interrupted:
-				return nil
-			}
-		}
-	}, func(error) {
-		signal.Stop(sgs)
-		close(interrupted)
-	})
-}
-
-// reload reads the settings again. If they are invalid, the old ones stay in force.
-func (nod *Node) reload() {
-	set, err := nod.options.Reload()
-	if err != nil {
-		nod.options.Log.Error("settings not reloaded", "Error", err.Error())
-		return
-	}
-	nod.settings.Store(&set)
-	nod.options.Log.Info("settings reloaded")
-}
-
 // shutDown stops the node gracefully: it becomes unready, serves until the load balancer has
 // taken it out, refuses new requests, and returns when no request is in flight or the grace period
 // is over. Requests that are in flight at its end are answered first.
