--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -5,10 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -68,6 +65,9 @@
 	Source   router.RecordStore
 	Codec    router.Codec
 	Dialect  router.Dialect
+	// Rows and Duties are for the platform's duty calls; they are used if Settings.Platform.Duties names an address.
+	Rows   router.RowStore
+	Duties router.DutyCaller
 	// Reload reads the settings again, on SIGHUP.
 	Reload func() (set conf.Node, err error)
 }
@@ -85,6 +85,8 @@
 	meter     *meter.Meter
 	stopping  atomic.Bool
 	closers   []func()
+	// duties is nil if the node makes no duty calls.
+	duties *dutyParts
 	// settings are the newest settings. Of a reload, only Platform.RetryReserve and Platform.Grace
 	// take effect; all other changes need a restart of the process.
 	settings atomic.Pointer[conf.Node]
@@ -135,6 +137,7 @@
 	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
 	met := meter.New(set.Name, opt.Log)
 	nod.meter = met
+	nod.duties = nod.newDuties()
 	nod.handler = &Handler{
 		meter:      met,
 		routes:     meter.NewRoutes(met),
@@ -257,6 +260,8 @@
 	defer nod.options.Timers.Every(retryBudgetInterval, func(time.Time) {
 		nod.budget.SetMaxTokens(retryBudgetFactor * nod.settings.Load().Platform.RetryReserve / float64(divisor(nod.mesh.FleetSize())))
 	})()
+	nod.duties.start()
+	defer nod.duties.stop()
 	nod.addSignalHandler(&grp, srv)
 	nod.options.Log.Info("node started", "Listen", set.Listen, "FailureDomain", set.FailureDomain, "Region", set.Region)
 	err = grp.Run()
@@ -327,43 +332,6 @@
 	return srv, nil
 }
 
-// addSignalHandler makes SIGTERM and SIGINT stop the node gracefully, and SIGHUP reload its
-// settings.
-func (nod *Node) addSignalHandler(grp *run.Group, srv *http.Server) {
-	sgs := make(chan os.Signal, 2)
-	signal.Notify(sgs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	interrupted := make(chan struct{})
-	grp.Add(func() error {
-		for {
-			select {
-			case sig := <-sgs:
-				if sig == syscall.SIGHUP {
-					nod.reload()
-					continue
-				}
-				nod.shutDown(srv)
-				return errStopped
-			case <-interrupted:
-				return nil
-			}
-		}
-	}, func(error) {
-		signal.Stop(sgs)
-		close(interrupted)
-	})
-}
-
-// reload reads the settings again. If they are invalid, the old ones stay in force.
-func (nod *Node) reload() {
-	set, err := nod.options.Reload()
-	if err != nil {
-		nod.options.Log.Error("settings not reloaded", "Error", err.Error())
-		return
-	}
-	nod.settings.Store(&set)
-	nod.options.Log.Info("settings reloaded")
-}
-
 // shutDown stops the node gracefully: it becomes unready, serves until the load balancer has
 // taken it out, refuses new requests, and returns when no request is in flight or the grace period
 // is over. Requests that are in flight at its end are answered first.
@@ -371,6 +339,7 @@
 	nod.stopping.Store(true)
 	nod.mesh.SetStopping()
 	go nod.mesh.Deregister(context.Background())
+	go nod.duties.stop()
 	nod.handler.closeConns.Store(true)
 	nod.options.Log.Info("node stopping", "Active", nod.handler.active.Load())
 	grace := nod.settings.Load().Platform.Grace
