Count the attempts that upstreams began to execute

The platform wants the number of requests that upstreams ran in each window, and the sender knows it best. Options.OnRun is called once for an attempt: at the first event of a stream, at an answer to a plain call that does not state that it was not run, and when the connection of a plain call broke after the call was written. Package conns now marks the errors of requests that were not written whole. Nothing is counted while OnRun is nil or the call has no workspace.

--- a/internal/router/conns/conn.go
+++ b/internal/router/conns/conn.go
@@ -65,8 +65,8 @@
 // whose header exceeds maxHeadBytes is an error.
 // The connection is closed when the context ends.
 //
-// After an error the upstream may have received the request. The caller either reads the body of the response and
-// then calls Release, or calls Close.
+// After an error the upstream may have received the request, unless it is a *NotWrittenError. The caller either reads the
+// body of the response and then calls Release, or calls Close.
 func (con *Conn) Send(ctx context.Context, req Request) (rsp *http.Response, err error) {
 	defer errs.Annotate(&err, "exchange")
 	con.stopWatch = context.AfterFunc(ctx, func() { _ = con.socket.Close() })
@@ -78,7 +78,7 @@
 			close(con.writeDone)
 		}()
 	} else if err := con.write(req); err != nil {
-		return nil, err
+		return nil, &NotWrittenError{cause: err}
 	}
 	out := &http.Request{Method: req.Method}
 	con.limit.limited, con.limit.left = true, maxHeadBytes
@@ -97,6 +97,15 @@
 	}
 }
 
+// NotWrittenError reports that a request was not written whole, so that its upstream cannot have begun to execute it.
+type NotWrittenError struct{ cause error }
+
+// Error returns the cause.
+func (err *NotWrittenError) Error() string { return err.cause.Error() }
+
+// Unwrap returns the cause.
+func (err *NotWrittenError) Unwrap() error { return err.cause }
+
 // Release returns the connection to its pool if it can be reused, and otherwise closes it. It can be reused if the
 // response was read to its end, no data follows it, and the request was written whole.
 func (con *Conn) Release(rsp *http.Response) {
--- a/internal/router/send/attempt.go
+++ b/internal/router/send/attempt.go
@@ -38,7 +38,7 @@
 		opt.Log.Info("sent again", "Request", act.job.Call.ID, "Upstream", ins.ID, "Send", act.attempts+1, "After", act.reason)
 	}
 	act.attempts++
-	act.begunAt, act.proven = time.Time{}, false
+	act.begunAt, act.proven, act.runCounted = time.Time{}, false, false
 	sub, cancel := act.attemptContext(ctx)
 	defer cancel()
 	sta, res = act.exchange(sub, ins, con, rsv)
@@ -106,6 +106,7 @@
 	rsp, err := con.Send(ctx, conns.Request{Method: cal.Method, Host: cal.Host, Target: cal.Target, Header: hdr, Body: cal.Body})
 	if err != nil {
 		con.Close()
+		act.countUnanswered(err)
 		return act.failAttempt(ctx, "no answer", ins, err)
 	}
 	chk := opt.Dialect.CheckAnswer(cal, rsp)
@@ -114,6 +115,7 @@
 	if !chk.Mismatched {
 		opt.Terms.Observe(ins, chk.Terms, sent)
 	}
+	act.countAnswered(chk)
 	switch {
 	case chk.Mismatched:
 		con.Close()
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -136,6 +136,7 @@
 		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+num]
 		if end := lastEventEnd(buf); end > 0 {
+			act.countRun()
 			if resumed && !continuesAfter(buf[:end], act.lastEventID) {
 				con.Close()
 				return act.failAttempt(ctx, "stream not continued", ins, errors.Errorf("no event after %q", act.lastEventID))
@@ -161,6 +162,9 @@
 			err = errors.Errorf("event exceeds %d bytes", maxEventBytes)
 		}
 		con.Close()
+		if len(buf) > 0 {
+			act.countRun()
+		}
 		return act.failAttempt(ctx, "stream cut", ins, err)
 	}
 }
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -88,6 +88,8 @@
 	OnCrash func(crs guard.Crash)
 	// OnAnswer is called when an upstream began to answer a request with these shared parts at a time and went on.
 	OnAnswer func(parts []uint64, begun time.Time)
+	// OnRun is called when an upstream began to execute an attempt of a call of a workspace; nil means that runs are not counted.
+	OnRun func(workspace string)
 	// RetryShare is the number of retry tokens that each call adds to the budget of its service, from 0 to 1.
 	RetryShare float64
 }
@@ -166,6 +168,8 @@
 	// for long enough that the call does not crash it.
 	begunAt time.Time
 	proven  bool
+	// runCounted is set once the current attempt was counted as run.
+	runCounted bool
 	// lastEventAt is when the last events were relayed, and maxGap the longest time between two of these writes.
 	lastEventAt time.Time
 	maxGap      time.Duration
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -96,8 +96,14 @@
 
 // newSenderAndRoster is newSender that also returns the roster with the records of the upstreams.
 func newSenderAndRoster(grd *guard.Guard, scrs ...*fakes.ScriptedServer) (snd *send.Sender, ros *roster.Roster) {
+	opt := senderOptions(grd, scrs...)
+	return send.New(opt), opt.Roster
+}
+
+// senderOptions returns the options of a Sender to scripted upstreams.
+func senderOptions(grd *guard.Guard, scrs ...*fakes.ScriptedServer) (opt send.Options) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	ros = roster.New(roster.Options{Timers: timer.Real{}, Codec: fakes.Codec{}, Log: log, OnRemove: func(router.Instance) {}})
+	ros := roster.New(roster.Options{Timers: timer.Real{}, Codec: fakes.Codec{}, Log: log, OnRemove: func(router.Instance) {}})
 	var upd follow.Update
 	for idx, scr := range scrs {
 		upd.Changed = append(upd.Changed, router.Record{
@@ -106,7 +112,7 @@
 		})
 	}
 	ros.Apply(upd)
-	return send.New(send.Options{
+	return send.Options{
 		Timers:   timer.Real{},
 		Dialect:  fakes.Dialect{},
 		Roster:   ros,
@@ -119,7 +125,7 @@
 		Permits:  newPermits(log),
 		OnCrash:  func(crs guard.Crash) { grd.Add(crs) },
 		OnAnswer: func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
-	}), ros
+	}
 }
 
 // sendCall sends a call with the given body and prompt.
