Carry usage messages between nodes

The holder of the duties asks all nodes for their usage counts, and nodes send copies of theirs to two others. As for permits, these are datagrams without the name of a node; a node without Options.Usage ignores them.

--- a/internal/router/mesh/digest.go
+++ b/internal/router/mesh/digest.go
@@ -216,7 +216,7 @@
 	case dig.GetPermitAnswer() != nil && msh.options.Permits != nil:
 		msh.options.Permits.Deliver(dig.GetPermitAnswer())
 	default:
-		return false
+		return msh.acceptUsage(soc, from, dig)
 	}
 	return true
 }
--- a/internal/router/mesh/mesh.go
+++ b/internal/router/mesh/mesh.go
@@ -108,6 +108,8 @@
 	Load   LoadState
 	// Permits answers requests for permits; nil means that this node grants none.
 	Permits Permits
+	// Usage keeps and answers usage counts; nil means that this node counts none.
+	Usage Usage
 	// Copies are this node's copies of the platform's records, which are compared with those of
 	// peers.
 	Copies map[router.RecordKind]*follow.Follower
