Ask for usage counts in small groups

All nodes of a fleet answered at the same moment; with many workspaces the answers exceed the receive buffer of the socket, and digests would be lost with them.

--- a/internal/router/usage/collection.go
+++ b/internal/router/usage/collection.go
@@ -13,6 +13,9 @@
 	collectAfter = 700 * time.Millisecond
 	// askInterval is the pause between requests to a node that does not answer.
 	askInterval = 300 * time.Millisecond
+	// asksPerStep bounds the requests that are sent at once, so that the answers do not overflow the buffer of the socket, where digests
+	// would be lost with them.
+	asksPerStep = 16
 	// minCollection is how long a collection takes at least if a listed node has not answered. A node that started a short time ago
 	// may not have heard the others, which then do not count as live.
 	minCollection = time.Second
@@ -20,9 +23,10 @@
 
 // collection holds what nodes answered about a window.
 type collection struct {
-	id       uint64
-	begun    time.Time
-	asked    time.Time
+	id    uint64
+	begun time.Time
+	// asked holds when nodes were asked last.
+	asked    map[string]time.Time
 	answered map[string]bool
 	counts   runCounts
 }
@@ -51,21 +55,26 @@
 	}
 }
 
-// ask sends requests for the counts of a window to the nodes that have not answered, if they are due.
+// ask sends requests for the counts of a window to nodes that have not answered and are due, those first that were asked least
+// recently.
 func (clr *collector) ask(window int64, now time.Time) {
 	mms := clr.service.fleet.Members()
+	slices.Sort(mms)
 	clr.mut.Lock()
 	col := clr.collections[window]
 	if col == nil {
 		clr.lastID++
-		col = &collection{id: clr.lastID, begun: now, answered: make(map[string]bool), counts: make(runCounts)}
+		col = &collection{
+			id: clr.lastID, begun: now, asked: make(map[string]time.Time), answered: make(map[string]bool), counts: make(runCounts),
+		}
 		clr.collections[window] = col
 	}
-	due := col.asked.IsZero() || now.Sub(col.asked) >= askInterval
-	if due {
-		col.asked = now
+	mms = slices.DeleteFunc(mms, func(nod string) bool { return col.answered[nod] || now.Sub(col.asked[nod]) < askInterval })
+	slices.SortStableFunc(mms, func(one, two string) int { return col.asked[one].Compare(col.asked[two]) })
+	mms = mms[:min(len(mms), asksPerStep)]
+	for _, nod := range mms {
+		col.asked[nod] = now
 	}
-	mms = slices.DeleteFunc(mms, func(nod string) bool { return !due || col.answered[nod] })
 	clr.mut.Unlock()
 	for _, nod := range mms {
 		clr.service.fleet.SendMessage(nod, &wire.Digest{UsageRequest: &wire.UsageRequest{Id: col.id, Window: window}})
--- a/internal/router/usage/sim_test.go
+++ b/internal/router/usage/sim_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -114,7 +115,10 @@
 		number = max(number, old)
 	}
 	nod.fence, nod.believes, nod.own = number+1, true, flt.era
-	flt.apply(flt.era, router.RowWrite{Key: leaseKey, Value: []byte(fmt.Sprint(number + 1)), IfVersion: flt.rows[leaseKey].Version})
+	wri := router.RowWrite{Key: leaseKey, Value: []byte(fmt.Sprint(number + 1)), IfVersion: flt.rows[leaseKey].Version}
+	if err := flt.apply(flt.era, wri); err != nil {
+		flt.t.Fatal(err)
+	}
 	nod.version = flt.last
 }
 
@@ -177,9 +181,9 @@
 	if happens(nod.flt.loseAnswer) {
 		return nil, 0, router.ErrUnavailable
 	}
-	for key, row := range nod.flt.rows {
+	for _, key := range slices.Sorted(maps.Keys(nod.flt.rows)) {
 		if strings.HasPrefix(key, prefix) {
-			rws = append(rws, row)
+			rws = append(rws, nod.flt.rows[key])
 		}
 	}
 	return rws, nod.flt.era, nil
@@ -221,7 +225,7 @@
 }
 
 func (nod *node) Members() (nodes []string) {
-	for name := range nod.flt.nodes {
+	for _, name := range slices.Sorted(maps.Keys(nod.flt.nodes)) {
 		if name != nod.name {
 			nodes = append(nodes, name)
 		}
