Refuse the other spot upstreams of the region in the scenario of a reclaim

Cause: the spot upstreams of the same region were the cheapest anyway, so that the scenario passed without the preference for the region.

Change: they are refused as well, and regular ones of the region must be ordered, although spot ones of the other region cost less. Without the preference the scenario fails now.

--- a/internal/router/scale/scale_test.go
+++ b/internal/router/scale/scale_test.go
@@ -203,10 +203,10 @@
 	},
 	"a reclaim in one failure domain": {
 		start: map[Group]int{regularA: 2, spotA: 3, regularB: 3, regularC: 1}, spot: 0.4, load: constant(30),
-		events: map[int]func(*cloud){40: func(cld *cloud) { cld.reclaim("a"); cld.refuse[spotA] = true }},
+		events: map[int]func(*cloud){40: func(cld *cloud) { cld.reclaim("a"); cld.refuse[spotA], cld.refuse[spotB] = true, true }},
 		length: 60, lowest: 6, from: 9, to: 9,
 		check: func(t *testing.T, cld *cloud) {
-			if cld.count(40, 41) == 0 || cld.number(regularC) > 1 {
+			if cld.count(40, 41) == 0 || cld.number(regularC)+cld.number(spotC) > 1 {
 				t.Errorf("not replaced at once in the region: %v", cld.orders)
 			}
 		},
