Add the command check-manifest

Cause: a manifest reaches all nodes within seconds, and a fault in it shows only then.

Change: hornbeamdyke check-manifest prints errors, warnings and what differs from the version in force, from a file or from the store, with positions.

--- a/cmd/hornbeamdyke/main.go
+++ b/cmd/hornbeamdyke/main.go
@@ -54,6 +54,7 @@
 	return []command{
 		{"serve", "run a node", "Runs a node until it is stopped by SIGTERM, which cuts off no request.", &serveCommand{}},
 		{"check", "check settings", "Checks settings and prints every error with its position.", &checkCommand{out: out}},
+		{"check-manifest", "check a manifest", "Checks a manifest of the platform before it is sent, and prints what differs from the one in force.", &manifestCommand{out: out}},
 		{"show", "show a site's settings", "Prints the effective settings of a site and where each value came from.", &showCommand{out: out}},
 		{"status", "show a node's state", "Prints what a running node says of itself, its upstreams and its peers.", &statusCommand{out: out}},
 		{"apply", "apply a configuration", "Checks a configuration and makes it the next revision.", &applyCommand{out: out}},
