Replace the upstreams of an idle service by spot ones at once

Under load, one upstream is exchanged at a time, because the cache of the one that goes is lost. An idle service has nothing to lose: its engines hold no prefix that a call will use. The exchange of all failure domains then takes one boot time. Four loads in TestLoads show it: a start without calls, calls in between, refused orders and a reclaim.

--- a/internal/router/scale/memory.go
+++ b/internal/router/scale/memory.go
@@ -90,6 +90,9 @@
 	// targets is the intended number of upstreams by region; nil before the first plan of a holder.
 	targets  map[string]int
 	exchange *exchange
+	// swaps holds the exchanges of an idle service by failure domain, and idleSince is since when it is idle; zero while it is not.
+	swaps     map[string]swap
+	idleSince time.Time
 }
 
 // exchange is the replacement of a regular upstream by a spot one in the same failure domain.
@@ -112,6 +115,7 @@
 	mem.refused = make(map[Group]time.Time)
 	mem.cutAt = time.Time{}
 	mem.targets, mem.exchange = nil, nil
+	mem.swaps = make(map[string]swap)
 }
 
 // Observe adds a view; call it once a second.
@@ -140,6 +144,7 @@
 		mem.faultAt = vew.Now
 	}
 	mem.observeDemand(vew)
+	mem.observeIdle(vew)
 }
 
 // observeInstances updates the sightings and returns how many spot upstreams began to drain, by group.
@@ -333,7 +338,7 @@
 	if pla.targets == nil {
 		return
 	}
-	mem.targets, mem.exchange = maps.Clone(pla.targets), pla.exchange
+	mem.targets, mem.exchange, mem.swaps = maps.Clone(pla.targets), pla.exchange, maps.Clone(pla.swaps)
 	if pla.cut {
 		mem.cutAt = now
 	}
--- a/internal/router/scale/plan.go
+++ b/internal/router/scale/plan.go
@@ -71,6 +71,7 @@
 
 	targets  map[string]int
 	exchange *exchange
+	swaps    map[string]swap
 	cut      bool
 }
 
@@ -79,15 +80,26 @@
 
 // Plan returns the orders for a service whose view the memory has observed. Without sufficient data there are none.
 func (Planner) Plan(vew View, mem *Memory) (pla Plan) {
-	if vew.HeldSince.IsZero() || vew.Now.Sub(vew.HeldSince) < minHeld || mem.known(vew.Now) < minKnown || vew.slots() == 0 {
+	if vew.HeldSince.IsZero() || vew.slots() == 0 {
 		return Plan{}
 	}
 	drf := newDraft(vew, mem)
+	if drf.idle() {
+		drf.repeat()
+		drf.exchangeIdle()
+		return drf.plan()
+	}
+	if vew.Now.Sub(vew.HeldSince) < minHeld || mem.known(vew.Now) < minKnown {
+		return Plan{}
+	}
 	drf.repeat()
 	drf.fillMinimum()
 	drf.fillTargets()
 	drf.grow()
 	if len(drf.reasons) == 0 {
+		drf.exchangeIdle()
+	}
+	if len(drf.reasons) == 0 && len(drf.swaps) == 0 {
 		drf.reduce()
 	}
 	return drf.plan()
@@ -104,6 +116,7 @@
 	needed        int
 	targets       map[string]int
 	exchange      *exchange
+	swaps         map[string]swap
 	reasons       map[Group]Reason
 	cutDomains    []string
 }
@@ -113,7 +126,7 @@
 		View: vew, mem: mem,
 		counted: make(map[Group]int), base: make(map[Group]int),
 		domains: vew.domains(), needed: mem.needed(vew),
-		targets: maps.Clone(mem.targets), exchange: mem.exchange,
+		targets: maps.Clone(mem.targets), exchange: mem.exchange, swaps: maps.Clone(mem.swaps),
 		reasons: make(map[Group]Reason),
 	}
 	if drf.targets == nil {
@@ -127,7 +140,7 @@
 
 // plan returns the finished plan, with its orders in a fixed order.
 func (drf *draft) plan() (pla Plan) {
-	pla = Plan{Needed: drf.needed, Intended: sum(drf.targets), Counted: sum(drf.counted), targets: drf.targets, exchange: drf.exchange, cut: len(drf.cutDomains) > 0}
+	pla = Plan{Needed: drf.needed, Intended: sum(drf.targets), Counted: sum(drf.counted), targets: drf.targets, exchange: drf.exchange, swaps: drf.swaps, cut: len(drf.cutDomains) > 0}
 	for _, grp := range slices.SortedFunc(maps.Keys(drf.reasons), compareGroups) {
 		pla.Orders = append(pla.Orders, Order{
 			ScaleOrder: router.ScaleOrder{Service: drf.Service.Name, FailureDomain: grp.FailureDomain, Count: drf.base[grp], Spot: grp.Spot},
--- a/internal/router/scale/scale_test.go
+++ b/internal/router/scale/scale_test.go
@@ -260,6 +260,36 @@
 		length: 200, lowest: 18, from: 18, to: 18,
 		check: func(t *testing.T, cld *cloud) { wantNone(t, cld, 0, 200) },
 	},
+	"idle after a start, with cheaper spot upstreams": {
+		start: map[Group]int{regularA: 6, regularB: 6, regularC: 6}, spot: 0.4, load: stepped(0, 14, 20),
+		length: 30, lowest: 18, from: 18, to: 18,
+		check: func(t *testing.T, cld *cloud) {
+			// 18 upstreams may lose 2 at once.
+			if got := []int{cld.number(spotA), cld.number(spotB), cld.number(spotC)}; !slices.Equal(got, []int{2, 2, 2}) {
+				t.Errorf("spot upstreams %v, want two in each failure domain: %v", got, cld.orders)
+			}
+			wantNone(t, cld, 14, 30)
+		},
+	},
+	"calls while the upstreams of an idle service are replaced": {
+		start: map[Group]int{regularA: 6, regularB: 6, regularC: 6}, spot: 0.4, load: stepped(0, 6, 20),
+		length: 60, lowest: 18, from: 18, to: 18,
+		check: func(t *testing.T, cld *cloud) {
+			if num := cld.count(0, 6); num != 3 {
+				t.Errorf("%d orders while idle, want one for each failure domain: %v", num, cld.orders)
+			}
+		},
+	},
+	"spot upstreams of an idle service are refused": {
+		start: map[Group]int{regularA: 6, regularB: 6, regularC: 6}, spot: 0.4, load: constant(0),
+		events: map[int]func(*cloud){1: func(cld *cloud) { cld.refuse[spotA], cld.refuse[spotB], cld.refuse[spotC] = true, true, true }},
+		length: 10, lowest: 18, from: 18, to: 18,
+	},
+	"spot upstreams of an idle service are reclaimed before they serve": {
+		start: map[Group]int{regularA: 6, regularB: 6, regularC: 6}, spot: 0.4, load: constant(0),
+		events: map[int]func(*cloud){6: func(cld *cloud) { cld.reclaim("a"); refuseAll(cld, true) }},
+		length: 40, lowest: 18, from: 18, to: 24,
+	},
 	"a holder cut off from the other nodes": {
 		start: map[Group]int{regularA: 4, regularB: 4, regularC: 3}, load: stepped(40, 40, 3),
 		events: map[int]func(*cloud){40: func(cld *cloud) { cld.blind = true }},
