Tell the node which duty calls there are, and bound the version in a token

Cause: the kinds of duties are the platform's terms, so the node can't tell from its settings which parts to start. A store whose versions exceed 32 bits would give tokens of the next era.

Change: edge.Options.DutyKinds is filled in by the command. A version that does not fit is left out of the token.

--- a/cmd/hornbeamdyke/serve.go
+++ b/cmd/hornbeamdyke/serve.go
@@ -72,6 +72,7 @@
 		}
 		if dut := set.Platform.Duties; dut.Address != "" {
 			opt.Rows = plat.NewLeases(str, dutyStoreTimeout)
+			opt.DutyKinds = edge.DutyKinds{Usage: plat.ReportsUsage(dut.Kinds), Scaling: plat.OrdersServers(dut.Kinds)}
 			opt.Duties = plat.NewDuties(dut.Address, dut.CallsPerSecond, duty.CallTimeout)
 		}
 		return edge.New(opt).Run()
--- a/internal/router/duty/state.go
+++ b/internal/router/duty/state.go
@@ -188,9 +188,9 @@
 		if sta.guards.eraInToken {
 			att.row.Token = max(att.row.Token, sta.seen.era<<eraShift+1)
 		}
-		if sta.guards.versionInToken {
+		if sta.guards.versionInToken && sta.seen.version < 1<<eraShift-1 {
 			// A late write of a holder of an earlier era may replace the row and its token, if the versions happen to be the same. The
-			// versions of the store keep increasing.
+			// versions of the store keep increasing. One that does not fit is left out, so as not to enter the next era.
 			att.row.Token = max(att.row.Token, sta.seen.era<<eraShift+sta.seen.version+1)
 		}
 	}
--- a/internal/router/edge/duties.go
+++ b/internal/router/edge/duties.go
@@ -12,6 +12,12 @@
 // releaseTimeout limits the release of the duty lease by a node that stops.
 const releaseTimeout = 3 * time.Second
 
+// DutyKinds tells which of the platform's duty calls the nodes have to make.
+type DutyKinds struct {
+	Usage   bool
+	Scaling bool
+}
+
 // dutyParts are the parts of a node that make the platform's duty calls.
 type dutyParts struct {
 	lease *duty.Lease
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -68,6 +68,8 @@
 	// Rows and Duties are for the platform's duty calls; they are used if Settings.Platform.Duties names an address.
 	Rows   router.RowStore
 	Duties router.DutyCaller
+	// DutyKinds tells which calls there are.
+	DutyKinds DutyKinds
 	// Reload reads the settings again, on SIGHUP.
 	Reload func() (set conf.Node, err error)
 }
