Start usage reports and scaling with the duties of a node

A node whose settings name the duty calls now counts the requests that upstreams begin to execute, answers other nodes' questions about them, and, while it holds the duties, reports usage and orders upstreams. Without Duties.Address none of them exists: TestDuties checks that no call is made.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -69,6 +69,14 @@
 	han.index.Store(route.New(man))
 }
 
+// services returns the services of the manifest in force.
+func (han *Handler) services() map[string]router.ServiceSpec {
+	if idx := han.index.Load(); idx != nil {
+		return idx.Manifest.Services
+	}
+	return nil
+}
+
 // ManifestVersion returns the version of the manifest in force, or zero if there is none.
 func (han *Handler) ManifestVersion() int64 {
 	idx := han.index.Load()
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -124,6 +124,9 @@
 	grd, stopGuard := guard.New(opt.Timers, send.MaxCrashes)
 	nod.closers = append(nod.closers, stopGuard)
 	pes := &peerState{balancer: balancer, guard: grd, terms: trs, timers: opt.Timers}
+	met := meter.New(set.Name, opt.Log)
+	nod.meter = met
+	nod.duties = nod.newDuties()
 	nod.mesh = mesh.New(mesh.Options{
 		Self:    router.Member{Name: set.Name, Address: set.Platform.Mesh, FailureDomain: set.FailureDomain},
 		Timers:  opt.Timers,
@@ -132,14 +135,13 @@
 		Codec:   opt.Codec,
 		Load:    pes,
 		Permits: pms,
+		Usage:   nod.duties.meshUsage(),
 		Copies:  map[router.RecordKind]*follow.Follower{router.Manifests: nod.manifests, router.Instances: nod.instances},
 		Regions: regions,
 	})
 	pms.Join(nod.mesh)
+	nod.duties.join(nod)
 	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
-	met := meter.New(set.Name, opt.Log)
-	nod.meter = met
-	nod.duties = nod.newDuties()
 	nod.handler = &Handler{
 		meter:      met,
 		routes:     meter.NewRoutes(met),
@@ -161,6 +163,7 @@
 			Permits:    pms,
 			OnCrash:    pes.recordCrash,
 			OnAnswer:   pes.recordAnswered,
+			OnRun:      nod.duties.onRun(),
 			Log:        opt.Log,
 			RetryShare: retryBudgetFactor * set.Platform.RetryShare,
 		}),
