Exchange the upstreams of an idle service once all of them are known

After a start the records of upstreams arrive within some seconds. An exchange that began with 103 of 140 of them ordered too few spot upstreams and a second exchange followed, whose cuts came under load. The service now counts as idle only when the number of its upstreams no longer changes; the new load in TestLoads fails without that.

--- a/internal/router/scale/idle.go
+++ b/internal/router/scale/idle.go
@@ -25,10 +25,14 @@
 	regular, spot int
 }
 
-// observeIdle notes since when the service is idle.
+// observeIdle notes since when the service is idle. While records of upstreams still arrive after a start, it doesn't count as idle,
+// because the number of upstreams is not known yet.
 func (mem *Memory) observeIdle(vew View) {
+	num := mem.serving()
+	settled := num == mem.served || len(mem.orders) > 0
+	mem.served = num
 	switch {
-	case !vew.Complete || vew.Demand.InFlight > 0 || vew.Demand.Calls >= idleCalls:
+	case !settled || !vew.Complete || vew.Demand.InFlight > 0 || vew.Demand.Calls >= idleCalls:
 		mem.idleSince = time.Time{}
 	case mem.idleSince.IsZero():
 		mem.idleSince = vew.Now
--- a/internal/router/scale/memory.go
+++ b/internal/router/scale/memory.go
@@ -93,6 +93,8 @@
 	// swaps holds the exchanges of an idle service by failure domain, and idleSince is since when it is idle; zero while it is not.
 	swaps     map[string]swap
 	idleSince time.Time
+	// served is the number of upstreams that served at the last observation.
+	served int
 }
 
 // exchange is the replacement of a regular upstream by a spot one in the same failure domain.
--- a/internal/router/scale/scale_test.go
+++ b/internal/router/scale/scale_test.go
@@ -280,6 +280,18 @@
 			}
 		},
 	},
+	"upstreams that appear one after the other at a start": {
+		start: map[Group]int{regularA: 2, regularB: 2, regularC: 2}, spot: 0.4, load: stepped(0, 22, 20),
+		events: map[int]func(*cloud){
+			2: func(cld *cloud) { cld.set(regularA, 6, 0) }, 3: func(cld *cloud) { cld.set(regularB, 6, 0) }, 4: func(cld *cloud) { cld.set(regularC, 6, 0) },
+		},
+		length: 30, lowest: 6, from: 18, to: 18,
+		check: func(t *testing.T, cld *cloud) {
+			if num := cld.number(spotA) + cld.number(spotB) + cld.number(spotC); num != 6 || len(cld.orders) != 6 {
+				t.Errorf("%d spot upstreams, want two in each failure domain at once: %v", num, cld.orders)
+			}
+		},
+	},
 	"spot upstreams of an idle service are refused": {
 		start: map[Group]int{regularA: 6, regularB: 6, regularC: 6}, spot: 0.4, load: constant(0),
 		events: map[int]func(*cloud){1: func(cld *cloud) { cld.refuse[spotA], cld.refuse[spotB], cld.refuse[spotC] = true, true, true }},
