Keep planning when all upstreams are gone or orders are slow

Cause: the slots of plain upstreams and the failure domains of a service without prices were taken from the instances that have a record. After a reclaim of all of them nothing was ordered any more. Orders that take long kept the services from being observed, so that the demand counted as unknown for ten seconds afterwards. Calls that wait at nodes were not part of the demand.

Change: Memory keeps the slots and the failure domains last seen. A step sends orders for two seconds at most. FleetDemand has a field for waiting calls, which is zero until the queues are known.

Two new scenarios of TestLoads show the first two faults; each fails without its part of the change. No test covers the waiting calls, since nothing sets them yet.

--- a/internal/router/place/fleet.go
+++ b/internal/router/place/fleet.go
@@ -9,6 +9,8 @@
 	Calls, PrefillTokens float64
 	// InFlight is the present number of calls at the upstreams.
 	InFlight int
+	// Waiting is the present number of calls that wait at nodes. FleetDemand leaves it zero; whoever knows the queues adds it.
+	Waiting int
 	// PendingTokens is the present number of prompt tokens that engines have yet to prefill.
 	PendingTokens int
 	// PrefillRate is the mean prefill rate of an engine in tokens per second; zero before this node observed one.
--- a/internal/router/scale/memory.go
+++ b/internal/router/scale/memory.go
@@ -80,6 +80,9 @@
 	samples []sample
 	seen    map[string]sighting
 	tallies map[Group]tally
+	// domains are the failure domains in which there were upstreams, and slots is the number of slots of one; zero if unknown.
+	domains map[string]bool
+	slots   int
 	orders  map[Group]ordered
 	// refused is until when no order for a group is sent.
 	refused map[Group]time.Time
@@ -101,7 +104,7 @@
 
 // NewMemory returns an empty Memory.
 func NewMemory() *Memory {
-	mem := &Memory{seen: make(map[string]sighting), tallies: make(map[Group]tally)}
+	mem := &Memory{seen: make(map[string]sighting), tallies: make(map[Group]tally), domains: make(map[string]bool)}
 	mem.ForgetOrders()
 	return mem
 }
@@ -118,6 +121,7 @@
 func (mem *Memory) Observe(vew View) {
 	boot := vew.Service.Scaling.Boot
 	old := mem.tallies
+	mem.slots = vew.slots()
 	drained := mem.observeInstances(vew)
 	mem.tallies = mem.count(vew.Now, boot)
 	for grp, tly := range mem.tallies {
@@ -147,7 +151,7 @@
 	drained = make(map[Group]int)
 	present := make(map[string]bool, len(vew.Instances))
 	for _, ins := range vew.Instances {
-		present[ins.ID] = true
+		present[ins.ID], mem.domains[ins.FailureDomain] = true, true
 		old := mem.seen[ins.ID]
 		sig := sighting{group: Group{FailureDomain: ins.FailureDomain, Spot: ins.Spot}, draining: ins.Draining, servingSince: old.servingSince}
 		if sig.servingSince.IsZero() || !old.awaySince.IsZero() {
@@ -259,7 +263,7 @@
 	if num := len(mem.samples); num > 0 && vew.Now.Sub(mem.samples[num-1].at) > maxSampleGap {
 		mem.samples = nil
 	}
-	smp := sample{at: vew.Now, calls: vew.Demand.InFlight, complete: vew.Complete, counted: make(map[string]int)}
+	smp := sample{at: vew.Now, calls: vew.calls(), complete: vew.Complete, counted: make(map[string]int)}
 	sum, num := smp.calls, 1
 	for _, one := range mem.last(vew.Now, meanWindow) {
 		sum += one.calls
--- a/internal/router/scale/plan.go
+++ b/internal/router/scale/plan.go
@@ -112,13 +112,14 @@
 	drf := &draft{
 		View: vew, mem: mem,
 		counted: make(map[Group]int), base: make(map[Group]int),
-		domains: vew.domains(), needed: mem.needed(vew),
+		domains: vew.priced(), needed: mem.needed(vew),
 		targets: maps.Clone(mem.targets), exchange: mem.exchange,
 		reasons: make(map[Group]Reason),
 	}
 	if drf.targets == nil {
 		drf.targets = mem.initialTargets(vew.Now)
 	}
+	maps.Copy(drf.domains, mem.domains)
 	for grp := range mem.groups() {
 		drf.counted[grp], drf.base[grp] = mem.counted(grp, vew.Now, vew.Service.Scaling.Boot), mem.base(grp)
 	}
--- a/internal/router/scale/runner.go
+++ b/internal/router/scale/runner.go
@@ -19,6 +19,9 @@
 	callLimit = time.Second
 	// maxRounds limits how often a plan is repeated at once because orders were refused.
 	maxRounds = 8
+	// maxStep limits the time in which orders are sent before the services are observed again; it is below maxSampleGap, beyond which
+	// the demand counts as unknown.
+	maxStep = 2 * time.Second
 	// minHeard is the share of the listed nodes that must be heard for the demand to cover the fleet.
 	minHeard = 0.9
 )
@@ -59,6 +62,8 @@
 	// fence is the number under which this node last held the duties, and heldSince when it began to; zero while it does not.
 	fence     int64
 	heldSince time.Time
+	// stepEnd is when the running step sends no more orders.
+	stepEnd time.Time
 }
 
 // Start runs a Runner until stop is called, which cancels an order that is being sent and waits for the running plan.
@@ -81,6 +86,7 @@
 	if run.stopCtx.Err() != nil {
 		return
 	}
+	run.stepEnd = run.options.Timers.Now().Add(maxStep)
 	run.updateFence()
 	svcs := run.options.Services()
 	for nam := range run.memories {
@@ -126,7 +132,7 @@
 		Now: run.options.Timers.Now(), Service: spc, Instances: list,
 		Demand:   run.options.Demand(name, list),
 		Complete: listed > 0 && float64(heard) >= minHeard*float64(listed),
-		Regions:  run.options.Regions, HeldSince: run.heldSince,
+		Regions:  run.options.Regions, PastSlots: mem.slots, HeldSince: run.heldSince,
 	}
 	mem.Observe(vew)
 	for range maxRounds {
@@ -150,11 +156,11 @@
 }
 
 // send sends the orders of a plan and reports whether one was refused. It stops at an order that had no answer, because the following
-// would wait as well.
+// would wait as well, and at the end of the step. What was not sent is planned again.
 func (run *Runner) send(pla Plan, vew View, mem *Memory) (refused bool) {
 	for _, ord := range pla.Orders {
 		fen, held := run.options.Lease.Fence(callLimit)
-		if !held || fen.Number != run.fence {
+		if !held || fen.Number != run.fence || run.options.Timers.Now().After(run.stepEnd) {
 			return false
 		}
 		ctx, cancel := context.WithTimeout(run.stopCtx, callLimit)
@@ -184,7 +190,7 @@
 	args := []any{
 		"Service", ord.Service, "FailureDomain", ord.FailureDomain, "Spot", ord.Spot, "Before", ord.Before, "Count", ord.Count,
 		"Reason", string(ord.Reason), "Outcome", outcome, "Needed", ord.Needed, "Intended", ord.Intended, "Counted", ord.Counted,
-		"InFlight", vew.Demand.InFlight, "Calls", vew.Demand.Calls, "PrefillTokens", vew.Demand.PrefillTokens, "PrefillRate", vew.Demand.PrefillRate,
+		"InFlight", vew.Demand.InFlight, "Waiting", vew.Demand.Waiting, "Calls", vew.Demand.Calls, "PrefillTokens", vew.Demand.PrefillTokens, "PrefillRate", vew.Demand.PrefillRate,
 	}
 	if res != nil {
 		args = append(args, "Error", res.Error())
--- a/internal/router/scale/scale_test.go
+++ b/internal/router/scale/scale_test.go
@@ -1,168 +1,22 @@
 package scale
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"log/slog"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
-	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 )
 
-// cloud is a model of the platform with one service of engines with 10 slots. It implements router.DutyCaller and router.DutyLease.
-type cloud struct {
-	*timer.Manual
-
-	boot   time.Duration
-	began  time.Time
-	ups    []*upstream
-	refuse map[Group]bool
-	// load is the number of calls in flight at a second.
-	load func(sec int) int
-	// fence is the number of the lease; zero if the node does not hold it.
-	fence int64
-	// lost is set while answers to orders are lost, down while orders are, and blind while no other node is heard.
-	lost, down, blind bool
-	orders            []string
-	// lowest is the lowest number of upstreams that served.
-	lowest int
-}
-
-type upstream struct {
-	router.Instance
-	servesAt time.Time
-	gone     bool
-	endsAt   time.Time
-}
-
-func (cld *cloud) second() int { return int(cld.Now().Sub(cld.began) / time.Second) }
-
-func (cld *cloud) Fence(time.Duration) (fen router.Fence, ok bool) {
-	return router.Fence{Holder: "node", Number: cld.fence}, cld.fence > 0
-}
-
-func (*cloud) Commit(context.Context, ...router.RowWrite) (err error) { return nil }
-
-func (*cloud) ReportUsage(context.Context, router.Fence, router.UsageReport) (err error) { return nil }
-
-func (cld *cloud) Scale(_ context.Context, _ router.Fence, ord router.ScaleOrder) (err error) {
-	grp := Group{FailureDomain: ord.FailureDomain, Spot: ord.Spot}
-	txt := fmt.Sprintf("%d %s %v %d", cld.second(), ord.FailureDomain, ord.Spot, ord.Count)
-	if cld.refuse[grp] {
-		cld.orders = append(cld.orders, txt+" refused")
-		return router.ErrNoCapacity
-	}
-	cld.orders = append(cld.orders, txt)
-	if !cld.down {
-		cld.set(grp, ord.Count, cld.boot)
-	}
-	if cld.lost || cld.down {
-		return router.ErrUnavailable
-	}
-	return nil
-}
-
-// set starts or drains upstreams until a group has a count.
-func (cld *cloud) set(grp Group, count int, boot time.Duration) {
-	now, num := cld.Now(), 0
-	for _, ups := range slices.Backward(cld.ups) {
-		if grp != (Group{FailureDomain: ups.FailureDomain, Spot: ups.Spot}) || ups.Draining {
-			continue
-		}
-		if num++; num > count {
-			ups.Draining, ups.endsAt = true, now.Add(3*time.Second)
-		}
-	}
-	for ; num < count; num++ {
-		ins := router.Instance{ID: fmt.Sprintf("u%d", len(cld.ups)), Service: "s", FailureDomain: grp.FailureDomain, Spot: grp.Spot, Slots: 10}
-		cld.ups = append(cld.ups, &upstream{Instance: ins, servesAt: now.Add(boot)})
-	}
-}
-
-// reclaim drains the spot upstreams of a failure domain.
-func (cld *cloud) reclaim(dom string) {
-	cld.set(Group{FailureDomain: dom, Spot: true}, 0, 0)
-}
-
-// crash makes upstreams of a group disappear, or return.
-func (cld *cloud) crash(dom string, num int, gone bool) {
-	for _, ups := range cld.ups {
-		if ups.FailureDomain == dom && num > 0 {
-			ups.gone = gone
-			num--
-		}
-	}
-}
-
-func (cld *cloud) instances(string) (list []router.Instance) {
-	for _, ups := range cld.ups {
-		if !ups.gone && !ups.servesAt.After(cld.Now()) && (ups.endsAt.IsZero() || ups.endsAt.After(cld.Now())) {
-			list = append(list, ups.Instance)
-		}
-	}
-	return list
-}
-
-func (cld *cloud) serving() (num int) {
-	for _, ins := range cld.instances("") {
-		if !ins.Draining {
-			num++
-		}
-	}
-	return num
-}
-
-func (cld *cloud) demand(string, []router.Instance) place.FleetDemand {
-	num := cld.load(cld.second())
-	return place.FleetDemand{Calls: float64(num), PrefillTokens: 100 * float64(num), InFlight: num, PrefillRate: 1000}
-}
-
-type noMetrics struct{}
-
-func (noMetrics) Event(string)                          {}
-func (noMetrics) Gauge(string, string, string, float64) {}
-
-// constant is a load that does not change.
-func constant(num int) func(int) int { return func(int) int { return num } }
-
-// stepped is a load that rises or falls at a second.
-func stepped(before, second, after int) func(int) int {
-	return func(sec int) int {
-		if sec < second {
-			return before
-		}
-		return after
-	}
-}
-
-// count counts the orders from one second to another.
-func (cld *cloud) count(from, to int) (num int) {
-	for _, txt := range cld.orders {
-		sec := 0
-		if _, err := fmt.Sscan(txt, &sec); err == nil && sec >= from && sec < to {
-			num++
-		}
-	}
-	return num
-}
-
-var (
-	regularA, spotA = Group{FailureDomain: "a"}, Group{FailureDomain: "a", Spot: true}
-	regularB, spotB = Group{FailureDomain: "b"}, Group{FailureDomain: "b", Spot: true}
-	regularC, spotC = Group{FailureDomain: "c"}, Group{FailureDomain: "c", Spot: true}
-	allGroups       = []Group{regularA, spotA, regularB, spotB, regularC, spotC}
-)
-
 // scenario is a load with faults, and what must hold.
 type scenario struct {
 	start map[Group]int
 	spot  float64
 	load  func(sec int) int
+	// plain is set if the upstreams are no engines and have no prices.
+	plain bool
 	// events happen before the plan of their second.
 	events map[int]func(cld *cloud)
 	length int
@@ -289,6 +143,21 @@
 			}
 		},
 	},
+	"a reclaim of all upstreams of a plain service": {
+		start: map[Group]int{spotA: 4, spotB: 4}, spot: 0.4, load: constant(30), plain: true,
+		events: map[int]func(*cloud){
+			40: func(cld *cloud) { cld.reclaim("a"); cld.reclaim("b"); refuseAll(cld, true) }, 60: func(cld *cloud) { refuseAll(cld, false) },
+		},
+		length: 80, lowest: 0, from: 8, to: 9,
+	},
+	"a burst while orders are slow and none are to be had": {
+		start: map[Group]int{regularA: 3, regularB: 3, regularC: 2}, spot: 0.4, load: stepped(30, 30, 60),
+		events: map[int]func(*cloud){
+			29: func(cld *cloud) { cld.slow = 900 * time.Millisecond; refuseAll(cld, true) },
+			35: func(cld *cloud) { cld.slow = 0; refuseAll(cld, false) },
+		},
+		length: 47, lowest: 8, from: 15, to: 36,
+	},
 	"steady, with room for seven spot upstreams": {
 		start: map[Group]int{regularA: 11, regularB: 1, regularC: 1}, spot: 0.4, load: constant(50),
 		length: 400, lowest: 13, from: 13, to: 15,
@@ -332,10 +201,14 @@
 	}
 	spc := spec
 	spc.SpotPrice = scn.spot
+	engine := &router.EngineSpec{Slots: 10, CacheTokens: 10000}
+	if scn.plain {
+		spc.Prices, engine = nil, nil
+	}
 	stop := Start(Options{
 		Timers: cld, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: noMetrics{}, Lease: cld, Duties: cld,
 		Services: func() map[string]router.ServiceSpec {
-			return map[string]router.ServiceSpec{"s": {Name: "s", Engine: &router.EngineSpec{Slots: 10, CacheTokens: 10000}, Scaling: &spc}, "fixed": {Name: "fixed"}}
+			return map[string]router.ServiceSpec{"s": {Name: "s", Engine: engine, Scaling: &spc}, "fixed": {Name: "fixed"}}
 		},
 		Instances: cld.instances, Demand: cld.demand,
 		Nodes: func() (heard, listed int) {
@@ -361,28 +234,3 @@
 		scn.check(t, cld)
 	}
 }
-
-// number returns the upstreams of a group that serve.
-func (cld *cloud) number(grp Group) (num int) {
-	for _, ins := range cld.instances("") {
-		if !ins.Draining && grp == (Group{FailureDomain: ins.FailureDomain, Spot: ins.Spot}) {
-			num++
-		}
-	}
-	return num
-}
-
-func wantNone(t *testing.T, cld *cloud, from, to int) {
-	t.Helper()
-	if num := cld.count(from, to); num != 0 {
-		t.Errorf("%d orders from %d s to %d s, want none: %v", num, from, to, cld.orders)
-	}
-}
-
-func refuseAll(cld *cloud, refuse bool) {
-	for _, grp := range allGroups {
-		cld.refuse[grp] = refuse
-	}
-}
-
-func abs(num int) int { return max(num, -num) }
--- a/internal/router/scale/view.go
+++ b/internal/router/scale/view.go
@@ -25,6 +25,8 @@
 	Complete bool
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
+	// PastSlots is the number of slots of an upstream that was last known; it counts while there are none.
+	PastSlots int
 	// HeldSince is when this node acquired the duties; zero if it does not hold them.
 	HeldSince time.Time
 }
@@ -73,6 +75,9 @@
 	if eng := vew.Service.Engine; eng != nil && eng.Slots > 0 {
 		return eng.Slots
 	}
+	if len(vew.Instances) == 0 {
+		return vew.PastSlots
+	}
 	sum := 0
 	for _, ins := range vew.Instances {
 		if ins.Slots <= 0 {
@@ -80,9 +85,6 @@
 		}
 		sum += ins.Slots
 	}
-	if sum == 0 {
-		return 0
-	}
 	return max(1, sum/len(vew.Instances))
 }
 
@@ -91,16 +93,21 @@
 
 // overloaded reports whether calls wait for engines or slots.
 func (vew View) overloaded(serving int) bool {
-	if vew.Demand.InFlight >= max(1, serving*vew.slots()) {
+	if vew.Demand.Waiting > 0 || vew.Demand.InFlight >= max(1, serving*vew.slots()) {
 		return true
 	}
 	capacity := vew.Demand.PrefillRate * float64(serving) * maxQueue.Seconds()
 	return capacity > 0 && float64(vew.Demand.PendingTokens) > capacity
 }
 
+// calls returns the present number of calls, those that wait included.
+func (vew View) calls() int {
+	return vew.Demand.InFlight + vew.Demand.Waiting
+}
+
 // present returns the demand of the present moment.
 func (vew View) present() load {
-	return vew.load(float64(vew.Demand.InFlight))
+	return vew.load(float64(vew.calls()))
 }
 
 // price returns the relative price of an upstream of a group.
@@ -115,8 +122,8 @@
 	return price
 }
 
-// domains returns the failure domains in which upstreams can be ordered: those with a price, and those with instances.
-func (vew View) domains() (dms map[string]bool) {
+// priced returns the failure domains that have a price and are known.
+func (vew View) priced() (dms map[string]bool) {
 	dms = make(map[string]bool)
 	for dom := range vew.Service.Scaling.Prices {
 		// A domain that no node knows has no region; an order for it is probably a mistake in the manifest.
@@ -124,8 +131,5 @@
 			dms[dom] = true
 		}
 	}
-	for _, ins := range vew.Instances {
-		dms[ins.FailureDomain] = true
-	}
 	return dms
 }
