--- a/internal/router/scale/memory.go
+++ b/internal/router/scale/memory.go
@@ -52,6 +52,8 @@
 type ordered struct {
 	count int
 	at    time.Time
+	// raised is set if the order was for more upstreams.
+	raised bool
 	// confirmed is set if the platform accepted it; otherwise it is sent again at retryAt.
 	confirmed bool
 	retryAt   time.Time
@@ -80,6 +82,9 @@
 	samples []sample
 	seen    map[string]sighting
 	tallies map[Group]tally
+	// domains are the failure domains in which there were upstreams, and slots is the number of slots of one; zero if unknown.
+	domains map[string]bool
+	slots   int
 	orders  map[Group]ordered
 	// refused is until when no order for a group is sent.
 	refused map[Group]time.Time
@@ -106,7 +111,7 @@
 
 // NewMemory returns an empty Memory.
 func NewMemory() *Memory {
-	mem := &Memory{seen: make(map[string]sighting), tallies: make(map[Group]tally)}
+	mem := &Memory{seen: make(map[string]sighting), tallies: make(map[Group]tally), domains: make(map[string]bool)}
 	mem.ForgetOrders()
 	return mem
 }
@@ -124,10 +129,17 @@
 func (mem *Memory) Observe(vew View) {
 	boot := vew.Service.Scaling.Boot
 	old := mem.tallies
+	mem.slots = vew.slots()
 	drained := mem.observeInstances(vew)
 	mem.tallies = mem.count(vew.Now, boot)
 	for grp, tly := range mem.tallies {
 		ord, known := mem.orders[grp]
+		if known && ord.raised && tly.serving > ord.count {
+			// More came than were ordered, for example those that another holder ordered. A repetition, or
+			// an order that builds on this count, would cut them.
+			delete(mem.orders, grp)
+			known = false
+		}
 		reclaimed := drained[grp] > 0 && (!known || tly.serving < ord.count)
 		if reclaimed {
 			// None are available there for some seconds, and those that were still booting are reclaimed as well.
@@ -154,7 +166,7 @@
 	drained = make(map[Group]int)
 	present := make(map[string]bool, len(vew.Instances))
 	for _, ins := range vew.Instances {
-		present[ins.ID] = true
+		present[ins.ID], mem.domains[ins.FailureDomain] = true, true
 		old := mem.seen[ins.ID]
 		sig := sighting{group: Group{FailureDomain: ins.FailureDomain, Spot: ins.Spot}, draining: ins.Draining, servingSince: old.servingSince}
 		if sig.servingSince.IsZero() || !old.awaySince.IsZero() {
@@ -266,7 +278,7 @@
 	if num := len(mem.samples); num > 0 && vew.Now.Sub(mem.samples[num-1].at) > maxSampleGap {
 		mem.samples = nil
 	}
-	smp := sample{at: vew.Now, calls: vew.Demand.InFlight, complete: vew.Complete, counted: make(map[string]int)}
+	smp := sample{at: vew.Now, calls: vew.calls(), complete: vew.Complete, counted: make(map[string]int)}
 	sum, num := smp.calls, 1
 	for _, one := range mem.last(vew.Now, meanWindow) {
 		sum += one.calls
@@ -351,7 +363,7 @@
 	grp := ord.Group()
 	switch old := mem.orders[grp]; {
 	case res == nil:
-		mem.orders[grp] = ordered{count: ord.Count, at: now, confirmed: true}
+		mem.orders[grp] = ordered{count: ord.Count, at: now, raised: ord.Count > ord.Before, confirmed: true}
 	case errors.Is(res, router.ErrNoCapacity):
 		mem.refused[grp] = now.Add(refusedPause)
 		mem.exchange = nil
@@ -360,9 +372,9 @@
 			delete(mem.orders, grp)
 		}
 	default:
-		cur := ordered{count: ord.Count, at: now, pause: minRetry}
+		cur := ordered{count: ord.Count, at: now, raised: ord.Count > ord.Before, pause: minRetry}
 		if !old.at.IsZero() && !old.confirmed && old.count == ord.Count {
-			cur.at, cur.pause = old.at, min(maxRetry, 2*old.pause)
+			cur.at, cur.raised, cur.pause = old.at, old.raised, min(maxRetry, 2*old.pause)
 		}
 		cur.retryAt = now.Add(cur.pause)
 		mem.orders[grp] = cur
