Count the streams that ended with an upstream's error or without their answer

An upstream's own error counts as a run, and an upstream that ran a call and lost the answer ran it too. A broken connection before the first event now counts if the upstream accepts a new connection; a crashed one had not begun.

--- a/internal/router/scale/scale_test.go
+++ b/internal/router/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"slices"
 	"testing"
 	"time"
 
--- a/internal/router/send/attempt.go
+++ b/internal/router/send/attempt.go
@@ -123,7 +123,7 @@
 	if !chk.Mismatched {
 		opt.Terms.Observe(ins, chk.Terms, sent)
 	}
-	act.countAnswered(chk)
+	act.countAnswered(chk, rsp.StatusCode)
 	switch {
 	case chk.Mismatched:
 		con.Close()
@@ -166,7 +166,7 @@
 func (act *activeCall) failAttempt(ctx context.Context, what string, ins router.Instance, err error) (attemptState, place.Result) {
 	act.logFailure(what, ins, err)
 	if connectionBroken(err) && ctx.Err() == nil {
-		go act.sender.confirmCrash(act.job.Call, act.digest, ins, act.suspectParts())
+		go act.sender.confirmCrash(act.job.Call, act.digest, ins, act.suspectParts(), act.countLost())
 	}
 	sta := unknown
 	if act.responseStarted {
--- a/internal/router/send/crash.go
+++ b/internal/router/send/crash.go
@@ -55,10 +55,15 @@
 }
 
 // confirmCrash reports a crash if an upstream whose connection broke refuses a new connection, and was not about to stop.
-// suspects holds the parts of the prompt that may have crashed it.
-func (snd *Sender) confirmCrash(cal *router.Call, digest string, ins router.Instance, suspects []uint64) {
+// suspects holds the parts of the prompt that may have crashed it, and onAlive, if it is not nil, is called if the upstream accepts the
+// connection.
+func (snd *Sender) confirmCrash(cal *router.Call, digest string, ins router.Instance, suspects []uint64, onAlive func()) {
 	leaving := snd.isLeaving(ins)
-	if err := snd.probe(cal.ID, ins); !showsCrash(err) || leaving {
+	err := snd.probe(cal.ID, ins)
+	if err == nil && onAlive != nil {
+		onAlive()
+	}
+	if !showsCrash(err) || leaving {
 		return
 	}
 	snd.options.OnCrash(guard.Crash{Digest: digest, Upstream: ins.Key(), At: snd.options.Timers.Now(), Parts: suspects})
--- a/internal/router/send/usage.go
+++ b/internal/router/send/usage.go
@@ -1,6 +1,8 @@
 package send
 
 import (
+	"net/http"
+
 	"github.com/go-faster/errors"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
@@ -19,14 +21,25 @@
 	}
 }
 
-// countAnswered counts an attempt of a call that is no stream if its answer does not state that the call was not run. That includes
-// answers that are not relayed, because the upstream may have run the call. Streams are counted at their first event.
-func (act *activeCall) countAnswered(chk router.AnswerCheck) {
-	if !act.job.Route.Stream && !chk.NotRun {
+// countAnswered counts an attempt if its answer does not state that the call was not run. That includes answers that are not relayed,
+// because the upstream may have run the call, and errors of the upstream. A stream is counted at its first event.
+func (act *activeCall) countAnswered(chk router.AnswerCheck, status int) {
+	if !chk.NotRun && (!act.job.Route.Stream || status != http.StatusOK) {
 		act.countRun()
 	}
 }
 
+// countLost returns a function that counts an attempt whose connection broke before the first event of a stream, or nil. An upstream that
+// is still up has lost the answer rather than crashed, so that it ran the call.
+func (act *activeCall) countLost() func() {
+	run, workspace := act.sender.options.OnRun, act.job.Workspace
+	if run == nil || workspace == "" || act.runCounted || !act.job.Route.Stream {
+		return nil
+	}
+	act.runCounted = true
+	return func() { run(workspace) }
+}
+
 // countUnanswered counts an attempt of a call that is no stream if its connection broke after the call was sent.
 func (act *activeCall) countUnanswered(err error) {
 	var unsent *conns.NotWrittenError
