Test a node against callers outside the limits

Change: package flood starts the real command with a stand-in store and upstream and plays eight loads against it. It checks that the process lives, that its anonymous memory stays within the setting of 64 MiB and its descriptors within 300, and that an ordinary request is answered afterwards, while the connections of the load are still open. The load and the bounds are fixed by this commit.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: fuzz race soak bench-sites build demo test lint format format-check spec faults measure bench generate
+.PHONY: fuzz race flood soak bench-sites build demo test lint format format-check spec faults measure bench generate
 
 BIN := bin
 EXAMPLES := examples/kameeldoring examples/tolbooth
@@ -29,6 +29,11 @@
 race:
 	go test -race -skip 'LargeFleet|FrozenNode' ./internal/router/... ./platform/...
 
+# flood tests a node against callers outside the limits, each test alone: the load takes the whole machine. Without the variable
+# the package runs no test.
+flood:
+	HORNBEAMDYKE_FLOOD=1 go test -p 1 -count=1 -v $(if $(SKIP),-skip '$(SKIP)') ./internal/flood
+
 lint:
 	$(TOOL) golangci-lint run ./...
 
