Bound what callers make a node hold

Cause: the node read all bodies at once, kept each until the end of its call, and had no limit of connections. A caller that did not read its answer held it for good.

Change: the listener for callers is an intake.Listener, and bodies and answers are counted by one intake.Budget. A body is read as long as there is memory; then its caller waits, and is refused with 503 or 408 and the code memory_short if the bound stays reached. Such a request has not been sent, and its connection is closed. A body is released when its upstream has got all of it and no other attempt may need it. Writes to a caller end after 30 s without progress. A plain answer is flushed in the handler, so that the time limit covers all of it. net/http's limit of headers is 4 KiB lower, since it reads 4 KiB more; the sum is the 64 KiB of the listener.

--- a/internal/router/conns/conn.go
+++ b/internal/router/conns/conn.go
@@ -100,7 +100,7 @@
 // Release returns the connection to its pool if it can be reused, and otherwise closes it. It can be reused if the
 // response was read to its end, no data follows it, and the request was written whole.
 func (con *Conn) Release(rsp *http.Response) {
-	reusable := con.stopWatch() && !rsp.Close && Delimited(rsp) && con.reader.Buffered() == 0 && con.requestWritten()
+	reusable := con.stopWatch() && !rsp.Close && Delimited(rsp) && con.reader.Buffered() == 0 && con.RequestWritten()
 	if !reusable {
 		_ = con.socket.Close()
 		return
@@ -157,8 +157,8 @@
 	return wri.Flush()
 }
 
-// requestWritten reports whether the whole request was written.
-func (con *Conn) requestWritten() bool {
+// RequestWritten reports whether the whole request was written.
+func (con *Conn) RequestWritten() bool {
 	if con.writeDone == nil {
 		return true
 	}
--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -14,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/intake"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/meter"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/route"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
@@ -25,8 +25,8 @@
 const (
 	// bodyTimeout is how long a caller may take to send a request body, if its deadline is not earlier.
 	bodyTimeout = 30 * time.Second
-	// initialBodyBuffer bounds the memory that a request takes before any of its body has arrived, in bytes.
-	initialBodyBuffer = 16 << 10
+	// shedRetryAfter is the Retry-After of requests that are refused because memory is short.
+	shedRetryAfter = time.Second
 )
 
 const (
@@ -47,6 +47,8 @@
 	sender  *send.Sender
 	routes  *meter.Routes
 	meter   *meter.Meter
+	// memory bounds what callers make the node hold.
+	memory *intake.Budget
 	// successLog limits the log lines of requests that succeed; failed and late ones are always
 	// logged.
 	successLog *rate.Limiter
@@ -94,6 +96,8 @@
 		var job send.Job
 		job, ref = han.admit(cal, wri, req)
 		if ref == nil {
+			defer job.ReleaseBody()
+			intake.Complete(req.Context())
 			rep := han.sender.Serve(req.Context(), job, wri)
 			han.logReport(job, rep)
 			if rep.CallerLeft {
@@ -121,11 +125,12 @@
 	if acc == nil && idx.RequiresKeys() && !rou.Public {
 		return job, han.refuseUnlessStale(router.Refuse(http.StatusUnauthorized, router.CodeKey, "unknown key"))
 	}
-	if ref := han.readBody(cal, wri, req, idx.Manifest.Limits); ref != nil {
+	release, ref := han.readBody(cal, wri, req, idx.Manifest.Limits)
+	if ref != nil {
 		return job, ref
 	}
 	job = send.Job{
-		Call:    cal,
+		Call: cal, ReleaseBody: release,
 		Route:   rou,
 		Service: route.ChooseService(rou, cal.ID),
 		Tier:    route.Tier(rou, acc),
@@ -153,14 +158,17 @@
 	return ref
 }
 
-// readBody reads the request body within the limit of the manifest.
-func (han *Handler) readBody(cal *router.Call, wri http.ResponseWriter, req *http.Request, lim router.CallerLimits) (ref *router.Refusal) {
+// readBody reads the request body within the limit of the manifest and the memory for requests. release releases the memory.
+func (han *Handler) readBody(cal *router.Call, wri http.ResponseWriter, req *http.Request, lim router.CallerLimits) (release func(), ref *router.Refusal) {
 	maxBytes := lim.BodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
 	if req.ContentLength > maxBytes {
-		return router.Refuse(http.StatusRequestEntityTooLarge, router.CodeTooLarge, "the body is above %d bytes", maxBytes)
+		return nil, router.Refuse(http.StatusRequestEntityTooLarge, router.CodeTooLarge, "the body is above %d bytes", maxBytes)
+	}
+	if req.ContentLength == 0 {
+		return func() {}, nil
 	}
 	end := han.timers.Now().Add(bodyTimeout)
 	if !cal.Deadline.IsZero() && cal.Deadline.Before(end) {
@@ -171,24 +179,46 @@
 	_ = ctl.SetReadDeadline(end)
 	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
 	stopped := han.sender.Stopped()
-	defer context.AfterFunc(stopped, func() { _ = ctl.SetReadDeadline(han.timers.Now()) })()
-	// The buffer grows with the bytes that arrive, not with the length that the caller announces.
-	var buf bytes.Buffer
-	buf.Grow(int(min(max(req.ContentLength, 0), initialBodyBuffer)) + bytes.MinRead)
-	_, err := buf.ReadFrom(http.MaxBytesReader(wri, req.Body, maxBytes))
-	cal.Body = buf.Bytes()
+	// The wait for memory ends with the time for the body, and when the node stops.
+	ctx, cancel := context.WithTimeout(req.Context(), end.Sub(han.timers.Now()))
+	defer cancel()
+	interrupt, done := intake.Guard(func() { _ = ctl.SetReadDeadline(han.timers.Now()) })
+	defer done()
+	defer context.AfterFunc(stopped, func() { interrupt(); cancel() })()
+	hol := han.memory.Open(intake.Request, req.ContentLength, interrupt)
+	txt, err := hol.Read(ctx, http.MaxBytesReader(wri, req.Body, maxBytes), req.ContentLength)
+	if err != nil {
+		hol.Release()
+		// The rest of the body is not read.
+		wri.Header().Set("Connection", "close")
+		return nil, han.refuseBody(err, maxBytes)
+	}
+	cal.Body = txt
+	return hol.Release, nil
+}
+
+// refuseBody returns the refusal of a request whose body was not read to its end.
+func (han *Handler) refuseBody(err error, maxBytes int64) (ref *router.Refusal) {
 	var tooLarge *http.MaxBytesError
+	stopped := han.sender.Stopped().Err() != nil
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	// These ended a wait for memory rather than for the caller.
+	waited := !late && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled))
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && stopped.Err() != nil:
+	case errors.Is(err, intake.ErrStalled):
+		return router.Refuse(http.StatusRequestTimeout, router.CodeMemory, "%s", err)
+	case (late || waited) && stopped:
 		return han.refuseNotReady("the node stops")
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case waited || errors.Is(err, intake.ErrShed):
+		ref = router.Refuse(http.StatusServiceUnavailable, router.CodeMemory, "%s", intake.ErrShed)
+		ref.RetryAfter = shedRetryAfter
+		return ref
+	case late:
 		return router.Refuse(http.StatusRequestTimeout, router.CodeDeadline, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return router.Refuse(http.StatusRequestEntityTooLarge, router.CodeTooLarge, "the body is above %d bytes", maxBytes)
-	case err != nil:
-		return router.Refuse(http.StatusBadRequest, router.CodeInvalid, "the body ended early")
 	default:
-		return nil
+		return router.Refuse(http.StatusBadRequest, router.CodeInvalid, "the body ended early")
 	}
 }
 
@@ -198,8 +228,17 @@
 		id = cal.ID
 	}
 	han.meter.Event("refused_" + ref.Code)
+	if ref.Code == router.CodeMemory {
+		// These are counted and logged by package intake, at a bounded rate.
+		send.WriteRefusal(wri, ref)
+		return
+	}
 	han.log.Info("request refused", "Request", id, "Host", req.Host, "Path", req.URL.Path, "Status", ref.Status,
 		"Code", ref.Code, "Manifest", han.ManifestVersion(), "Stale", han.stale(), "SilenceMs", han.silence().Milliseconds())
+	if req.ContentLength != 0 {
+		// net/http reads the rest of a small body.
+		_ = http.NewResponseController(wri).SetReadDeadline(han.timers.Now().Add(bodyTimeout))
+	}
 	send.WriteRefusal(wri, ref)
 }
 
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -22,6 +22,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/conns"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/intake"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/mesh"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/meter"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/permit"
@@ -36,8 +37,9 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long an idle keep-alive connection of a caller or another client is kept.
 	idleTimeout = 90 * time.Second
-	// maxHeaderBytes limits request headers. The manifest's CallerLimits.HeaderBytes is not enforced.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes limits request headers. The manifest's CallerLimits.HeaderBytes is not enforced. net/http reads up to 4 KiB
+	// more, and answers above that; the limit of package intake, above which it is not answered, is the sum.
+	maxHeaderBytes = intake.MaxHeaderBytes - 4<<10
 	// balancerDrainTime is how long a stopping node keeps serving while the platform's load
 	// balancer takes it out: two failed probes 1 s apart, and 0.5 s of slack.
 	balancerDrainTime = 2500 * time.Millisecond
@@ -83,6 +85,8 @@
 	mesh      *mesh.Mesh
 	budget    *budget.Registry
 	meter     *meter.Meter
+	memory    *intake.Budget
+	reporter  *intake.Reporter
 	stopping  atomic.Bool
 	closers   []func()
 	// settings are the newest settings. Of a reload, only Platform.RetryReserve and Platform.Grace
@@ -135,8 +139,11 @@
 	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
 	met := meter.New(set.Name, opt.Log)
 	nod.meter = met
+	nod.reporter = intake.NewReporter(opt.Timers, opt.Log, met)
+	nod.memory = newMemory(opt, nod.reporter)
 	nod.handler = &Handler{
 		meter:      met,
+		memory:     nod.memory,
 		routes:     meter.NewRoutes(met),
 		successLog: rate.NewLimiter(successLogRate, successLogBurst),
 		timers:     opt.Timers,
@@ -157,6 +164,7 @@
 			OnCrash:    pes.recordCrash,
 			OnAnswer:   pes.recordAnswered,
 			Log:        opt.Log,
+			Memory:     nod.memory,
 			RetryShare: retryBudgetFactor * set.Platform.RetryShare,
 		}),
 	}
@@ -228,17 +236,17 @@
 	defer errs.Annotate(&err, "run node")
 	var grp run.Group
 	set := nod.settings.Load()
-	srv, err := nod.listen(&grp, set.Listen, nod.handler)
+	srv, err := nod.listenCallers(&grp, set.Listen)
 	if err != nil {
 		return err
 	}
-	if _, err := nod.listen(&grp, set.Admin, nod.adminHandler()); err != nil {
+	if err := nod.listen(&grp, set.Admin, nod.adminHandler()); err != nil {
 		return err
 	}
 	if set.Platform.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", nod.meter.Handler())
-		if _, err := nod.listen(&grp, set.Platform.Metrics, mux); err != nil {
+		if err := nod.listen(&grp, set.Platform.Metrics, mux); err != nil {
 			return err
 		}
 	}
@@ -250,7 +258,7 @@
 			return nil
 		}, func(error) { cancel() })
 	}
-	if _, err := nod.listen(&grp, set.Platform.Mesh, nod.mesh.Handler()); err != nil {
+	if err := nod.listen(&grp, set.Platform.Mesh, nod.mesh.Handler()); err != nil {
 		return err
 	}
 	grp.Add(func() error { return nod.mesh.Run(ctx) }, func(error) { cancel() })
@@ -299,32 +307,13 @@
 }
 
 // listen adds an HTTP server on the address to the run group.
-func (nod *Node) listen(grp *run.Group, address string, han http.Handler) (srv *http.Server, err error) {
+func (nod *Node) listen(grp *run.Group, address string, han http.Handler) (err error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
-	}
-	srv = &http.Server{
-		Handler:           han,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(nod.options.Log.Handler(), slog.LevelDebug),
-	}
-	interrupted := make(chan struct{})
-	grp.Add(func() error {
-		err := srv.Serve(lis)
-		if errors.Is(err, http.ErrServerClosed) {
-			// shutDown closed the listener. Wait for the group to end, since returning now would
-			// end it before the requests in flight.
-			<-interrupted
-		}
 		return err
-	}, func(error) {
-		close(interrupted)
-		_ = srv.Close()
-	})
-	return srv, nil
+	}
+	nod.serve(grp, lis, han)
+	return nil
 }
 
 // addSignalHandler makes SIGTERM and SIGINT stop the node gracefully, and SIGHUP reload its
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -60,4 +60,5 @@
 	CodeOrderUnknown  = "order_outcome_unknown"
 	CodeTable         = "table_unavailable"
 	CodeRoute         = "route_not_found"
+	CodeMemory        = "memory_short"
 )
--- /dev/null
+++ b/internal/router/send/answer.go
@@ -0,0 +1,151 @@
+package send
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/conns"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/intake"
+)
+
+const (
+	// unreadTimeout is how long a caller may take no byte of its answer.
+	unreadTimeout = 30 * time.Second
+	// memoryWait is how long an answer that is not a stream waits for memory before it is given up.
+	memoryWait = 2 * time.Second
+	// writePiece is the number of bytes after which a write to the caller counts as progress.
+	writePiece = 64 << 10
+	// initialResponseBuffer is the initial capacity of the buffer for a response, in bytes.
+	initialResponseBuffer = 4 << 10
+)
+
+// answer is the memory of an answer and the way to its caller.
+type answer struct {
+	hold    *intake.Hold
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	timers  router.Timers
+	done    func()
+}
+
+// openAnswer returns an answer, which the caller closes.
+func (act *activeCall) openAnswer() (ans *answer) {
+	ans = &answer{writer: act.writer, control: http.NewResponseController(act.writer), timers: act.sender.options.Timers}
+	abort, done := intake.Guard(func() { _ = ans.control.SetWriteDeadline(ans.timers.Now()) })
+	ans.hold, ans.done = act.sender.options.Memory.Open(intake.Answer, -1, abort), done
+	return ans
+}
+
+// close releases the memory, and removes the time limit of writes for the next answer on the connection.
+func (ans *answer) close() {
+	ans.hold.Release()
+	ans.done()
+	if ans.hold.Err() == nil {
+		_ = ans.control.SetWriteDeadline(time.Time{})
+	}
+}
+
+// write writes to the caller and flushes. Without a deadline of the connection, as in tests, the caller may take any time.
+func (ans *answer) write(txt []byte) (err error) {
+	ans.hold.Watch(true)
+	defer ans.hold.Watch(false)
+	for first := true; first || len(txt) > 0; first = false {
+		if err := ans.hold.Err(); err != nil {
+			return err
+		}
+		_ = ans.control.SetWriteDeadline(ans.timers.Now().Add(unreadTimeout))
+		cut := min(writePiece, len(txt))
+		if _, err := ans.writer.Write(txt[:cut]); err != nil {
+			return err
+		}
+		txt = txt[cut:]
+		ans.hold.Progress()
+	}
+	return ans.control.Flush()
+}
+
+// extend returns a buffer for events that has room.
+func (ans *answer) extend(buf []byte) []byte {
+	if len(buf) < cap(buf) {
+		return buf
+	}
+	old := cap(buf)
+	buf = append(buf, 0)[:len(buf)]
+	ans.hold.Take(int64(cap(buf) - old))
+	return buf
+}
+
+// readResponse reads the body of a response that is not a stream into memory that is counted in hol. The caller subtracts
+// reserved from buffered when it no longer needs the body.
+func (snd *Sender) readResponse(ctx context.Context, rsp *http.Response, hol *intake.Hold) (txt []byte, reserved int64, err error) {
+	var buf []byte
+	for {
+		if len(buf) == cap(buf) {
+			if buf, err = enlarge(ctx, buf, rsp.ContentLength, hol); err != nil {
+				return nil, reserved, errors.Wrap(err, "no memory for the response")
+			}
+		}
+		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+num]
+		if over := int64(len(buf) - freeResponseBytes); over > reserved {
+			total := snd.buffered.Add(over - reserved)
+			reserved = over
+			if total > maxBufferedBytes {
+				return nil, reserved, errors.Errorf("buffered responses exceed %d bytes", maxBufferedBytes)
+			}
+		}
+		switch {
+		case len(buf) > maxResponseBytes:
+			return nil, reserved, errors.Errorf("response exceeds %d bytes", maxResponseBytes)
+		case errors.Is(err, io.EOF):
+			return buf, reserved, nil
+		case err != nil:
+			return nil, reserved, err
+		}
+	}
+}
+
+// enlarge returns a larger buffer with the same content. The first freeResponseBytes are not waited for.
+func enlarge(ctx context.Context, buf []byte, length int64, hol *intake.Hold) (res []byte, err error) {
+	size := max(initialResponseBuffer, 2*cap(buf))
+	if length >= int64(len(buf)) {
+		// One more byte than the response has room for the read that returns its end.
+		size = min(size, int(length)+1)
+	}
+	if size <= freeResponseBytes {
+		hol.Take(int64(size))
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, memoryWait)
+		defer cancel()
+		if err := hol.Grow(ctx, int64(size)); err != nil {
+			return nil, err
+		}
+	}
+	res = make([]byte, len(buf), size)
+	copy(res, buf)
+	hol.Shrink(int64(cap(buf)))
+	return res, nil
+}
+
+// releaseBody releases the body of the call, which no attempt needs any more.
+func (act *activeCall) releaseBody() {
+	act.job.Call.Body = nil
+	if act.job.ReleaseBody != nil {
+		act.job.ReleaseBody()
+	}
+}
+
+// releaseBodyOfStream releases the body of a stream that has begun, if no other attempt may continue it and the upstream has got
+// the whole body.
+func (act *activeCall) releaseBodyOfStream(con *conns.Conn) {
+	rou := act.job.Route
+	resumable := rou.Repeat == router.Resumable && act.attempts < rou.Attempts
+	if !resumable && con.RequestWritten() {
+		act.releaseBody()
+	}
+}
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -50,12 +50,15 @@
 // relayWhole buffers a response until it is complete and then relays it, so that an incomplete one can still
 // be retried.
 func (act *activeCall) relayWhole(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response) (attemptState, place.Result) {
-	txt, reserved, err := act.sender.readResponse(rsp)
-	defer act.sender.buffered.Add(-reserved)
+	ans := act.openAnswer()
+	defer ans.close()
+	txt, reserved, err := act.sender.readResponse(ctx, rsp, ans.hold)
+	defer func() { act.sender.buffered.Add(-reserved) }()
 	if err != nil {
 		con.Close()
 		return act.failAttempt(ctx, "answer cut", ins, err)
 	}
+	written := con.RequestWritten()
 	con.Release(rsp)
 	res := place.Served
 	if rsp.StatusCode >= http.StatusInternalServerError {
@@ -65,6 +68,9 @@
 			return unknown, res
 		}
 	}
+	if written {
+		act.releaseBody()
+	}
 	hdr := act.writer.Header()
 	act.sender.options.Dialect.CopyHeader(hdr, rsp.Header)
 	if act.job.Call.Method != http.MethodHead {
@@ -77,7 +83,7 @@
 		act.begunAt = now
 	}
 	act.writer.WriteHeader(rsp.StatusCode)
-	_, _ = act.writer.Write(txt)
+	_ = ans.write(txt)
 	return completed, res
 }
 
@@ -103,36 +109,15 @@
 	con.Release(rsp)
 }
 
-// readResponse reads the body of a response that is not a stream. The caller subtracts reserved from buffered when it no
-// longer needs the body.
-func (snd *Sender) readResponse(rsp *http.Response) (txt []byte, reserved int64, err error) {
-	var buf bytes.Buffer
-	for {
-		num, err := io.CopyN(&buf, rsp.Body, freeResponseBytes)
-		switch {
-		case errors.Is(err, io.EOF):
-			return buf.Bytes(), reserved, nil
-		case err != nil:
-			return nil, reserved, err
-		case buf.Len() > maxResponseBytes:
-			return nil, reserved, errors.Errorf("response exceeds %d bytes", maxResponseBytes)
-		}
-		reserved += num
-		if snd.buffered.Add(num) > maxBufferedBytes {
-			return nil, reserved, errors.Errorf("buffered responses exceed %d bytes", maxBufferedBytes)
-		}
-	}
-}
-
 // relayStream relays server-sent events as they arrive. Only complete events are relayed, so that a stream can
 // resume after the last one.
 func (act *activeCall) relayStream(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response, rsv *place.Reservation) (attemptState, place.Result) {
+	ans := act.openAnswer()
+	defer ans.close()
 	buf := make([]byte, 0, initialEventBuffer)
 	resumed := act.responseStarted
 	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
+		buf = ans.extend(buf)
 		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+num]
 		if end := lastEventEnd(buf); end > 0 {
@@ -142,11 +127,12 @@
 			}
 			resumed = false
 			rsv.ObserveEvent()
-			if werr := act.writeEvents(buf[:end], rsp); werr != nil {
+			if werr := act.writeEvents(buf[:end], rsp, ans); werr != nil {
 				con.Close()
 				return act.failAttempt(ctx, "caller does not read", ins, werr)
 			}
 			buf = buf[:copy(buf, buf[end:])]
+			act.releaseBodyOfStream(con)
 		}
 		switch {
 		case err == nil && len(buf) < maxEventBytes:
@@ -172,7 +158,7 @@
 }
 
 // writeEvents writes complete events to the caller and flushes them.
-func (act *activeCall) writeEvents(txt []byte, rsp *http.Response) (err error) {
+func (act *activeCall) writeEvents(txt []byte, rsp *http.Response, ans *answer) (err error) {
 	now := act.sender.options.Timers.Now()
 	if act.responseStarted {
 		act.maxGap = max(act.maxGap, now.Sub(act.lastEventAt))
@@ -197,11 +183,7 @@
 	if last := findLastEventID(txt); last != "" {
 		act.lastEventID = last
 	}
-	if _, err := act.writer.Write(txt); err != nil {
-		return err
-	}
-	ctl := http.NewResponseController(act.writer)
-	return ctl.Flush()
+	return ans.write(txt)
 }
 
 // lastEventEnd returns the offset of the end of the last complete event, or 0 if there is none.
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/conns"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/intake"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/permit"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/roster"
@@ -36,6 +37,10 @@
 
 // Job is a call with its route, service, tier and ranks, resolved before it is sent.
 type Job struct {
+	// ReleaseBody releases the memory of the body of Call when no attempt needs it any more; it may be nil, and is called more than
+	// once.
+	ReleaseBody func()
+
 	Call    *router.Call
 	Route   *router.Route
 	Service string
@@ -84,6 +89,8 @@
 	Terms    *terms.Registry
 	Permits  *permit.Service
 	Log      *slog.Logger
+	// Memory bounds the answers that are held; nil sets no bound beyond the constants of this package.
+	Memory *intake.Budget
 	// OnCrash is called when an upstream crashed while it ran a request.
 	OnCrash func(crs guard.Crash)
 	// OnAnswer is called when an upstream began to answer a request with these shared parts at a time and went on.
@@ -105,6 +112,9 @@
 
 // New returns a Sender.
 func New(opt Options) *Sender {
+	if opt.Memory == nil {
+		opt.Memory = intake.New(intake.Options{Timers: opt.Timers, OnRefuse: func(string) {}})
+	}
 	snd := &Sender{options: opt}
 	snd.stopped, snd.stop = context.WithCancel(context.Background())
 	return snd
