Test that a node serves one body of the highest legal size

Cause: a bound of memory can refuse what it is to protect. The bodies of package flood are all more than a node can hold.

Change: one request of 4 MiB to an idle node with a memory setting of 64 MiB must be answered, with its length and chunked. The start of a node is a function of its own for it; loads and bounds of the other tests are unchanged.

--- a/internal/flood/flood_test.go
+++ b/internal/flood/flood_test.go
@@ -1,6 +1,7 @@
 package flood
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -59,20 +60,27 @@
 	return m.Run()
 }
 
-// play runs a crowd against a node and checks the bounds.
-func play(t *testing.T, crw crowd) {
+// startNode starts a node that answers an ordinary request.
+func startNode(t *testing.T) (nod *Node) {
 	t.Helper()
 	nod, err := Start(Options{
 		Binary: binary, Dir: t.TempDir(), MemoryMebibytes: memoryMebibytes, FileDescriptors: fileDescriptors,
 		Upstream: &mock.LargeUpstream{Upstream: mock.NewUpstream("u-0"), Bytes: answerBytes, Delay: 200 * time.Millisecond},
 	})
-	defer nod.Stop()
+	t.Cleanup(nod.Stop)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if !answers(t, nod, "before") {
 		t.Fatalf("the node does not start: %s", nod.LogEnd())
 	}
+	return nod
+}
+
+// play runs a crowd against a node and checks the bounds.
+func play(t *testing.T, crw crowd) {
+	t.Helper()
+	nod := startNode(t)
 	idle := nod.Peak()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -158,3 +166,26 @@
 func TestUnreadAnswers(t *testing.T) {
 	play(t, crowd{size: bodyCallers, send: sendLarge})
 }
+
+// TestOneLargeBody guards against limits that a single request of the highest legal size meets, with its length and without.
+func TestOneLargeBody(t *testing.T) {
+	cases := map[string]int64{"length": maxBodyBytes, "chunked": -1}
+	for name, length := range cases {
+		t.Run(name, func(t *testing.T) {
+			nod := startNode(t)
+			req, err := mock.NewRequest(t.Context(), nod.Address, "order", name, hangTime)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), length
+			rsp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangTime}).Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer rsp.Body.Close()
+			if rsp.StatusCode != http.StatusOK {
+				t.Errorf("status %d: %s", rsp.StatusCode, nod.LogEnd())
+			}
+		})
+	}
+}
