Exchange learned prefill rates between nodes

A node that sees two requests a second observes an engine once in tens of seconds and expects 40 tokens per ms of it until then. Nodes now report the rates that they observed in the last 3 s, and a node that observed none itself uses the average of the fleet. Without reports from peers the rates are as before.

--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -72,6 +72,8 @@
 			Running:  uint32(max(0, inf.Running)),
 			Fragile:  float32(inf.GapRisk),
 			Slow:     float32(pes.balancer.LocalSlowdown(id)),
+
+			PrefillRate: float32(pes.balancer.LocalRate(id)),
 		}
 		for _, num := range inf.Pending {
 			lod.Unread = append(lod.Unread, uint32(max(0, num)))
@@ -99,8 +101,9 @@
 // SetPeer applies a digest received from a peer.
 func (pes *peerState) SetPeer(dig *wire.Digest) {
 	infs := make(map[uint64]place.InFlight, len(dig.GetLoads()))
+	rates := make(map[uint64]float64)
 	for _, lod := range dig.GetLoads() {
-		if isInvalidAmount(lod.GetFragile()) || isInvalidAmount(lod.GetSlow()) {
+		if isInvalidAmount(lod.GetFragile()) || isInvalidAmount(lod.GetSlow()) || isInvalidAmount(lod.GetPrefillRate()) {
 			continue
 		}
 		inf := place.InFlight{Running: int(lod.GetRunning()), GapRisk: float64(lod.GetFragile())}
@@ -113,8 +116,12 @@
 		if slo := lod.GetSlow(); slo > 0 {
 			pes.balancer.SetPeerSlowdown(lod.GetInstance(), float64(slo))
 		}
+		if rat := lod.GetPrefillRate(); rat > 0 {
+			rates[lod.GetInstance()] = float64(rat)
+		}
 	}
 	pes.balancer.SetPeerLoads(dig.GetNode(), infs)
+	pes.balancer.SetPeerRates(dig.GetNode(), rates)
 	pes.balancer.SetPeerDemand(dig.GetNode(), decodeDemands(dig.GetDemands()))
 	pes.addTerms(dig.GetTerms())
 	pes.AddStrikes(dig.GetStrikes())
@@ -175,6 +182,7 @@
 // RemovePeer removes the load of a peer that is no longer live.
 func (pes *peerState) RemovePeer(name string) {
 	pes.balancer.SetPeerLoads(name, nil)
+	pes.balancer.SetPeerRates(name, nil)
 	pes.balancer.SetPeerDemand(name, nil)
 }
 
--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -30,6 +30,8 @@
 	byID  map[uint64]*load
 	// peers holds the latest report of each peer, which is subtracted when the next one arrives.
 	peers map[string]map[uint64]InFlight
+	// peerRates holds the prefill rates that each peer reported last.
+	peerRates map[string]map[uint64]float64
 	// services holds the classes of calls and the partition of the engines of each service with prompts.
 	services map[string]*service
 }
@@ -43,6 +45,8 @@
 		byID:     make(map[uint64]*load),
 		peers:    make(map[string]map[uint64]InFlight),
 		services: make(map[string]*service),
+
+		peerRates: make(map[string]map[uint64]float64),
 	}
 }
 
@@ -82,14 +86,16 @@
 	lod.eject(bal.options.Timers.Now())
 }
 
-// LocalLoads returns what this node has in flight, by the hash of the incarnation's key.
+// LocalLoads returns what this node has in flight, by the hash of the incarnation's key. Incarnations whose prefill rate
+// it observed lately are included, with nothing in flight.
 func (bal *Balancer) LocalLoads() (infs map[uint64]InFlight) {
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
 	infs = make(map[uint64]InFlight)
+	now := bal.options.Timers.Now()
 	for id, lod := range bal.byID {
 		lod.mut.Lock()
-		if lod.local != (InFlight{}) {
+		if lod.local != (InFlight{}) || lod.rate.recent(now) > 0 {
 			infs[id] = lod.local
 		}
 		lod.mut.Unlock()
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -39,7 +39,7 @@
 	}
 	lod := opt.load
 	rsv = lod.reserve(opt.prefillTokens, opt.rank, req, now)
-	rsv.Source, rsv.Late = opt.source, opt.late
+	rsv.Source, rsv.Late, rsv.remote = opt.source, opt.late, opt.remote
 	rsv.onStart = func() {
 		svc.begin(cls, req, opt.prefillTokens, now())
 		bal.prefixes.recordLocal(req.Prefixes, lod.id, false, now())
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -86,8 +86,11 @@
 	mut sync.Mutex
 	// local is the work from this node, peers the work from all others.
 	local, peers InFlight
-	// prefillRate is the moving average of prompt tokens prefilled per millisecond; zero before the first observation.
-	prefillRate float64
+	// prefillRate is the moving average of prompt tokens prefilled per millisecond, as this node observed it last at
+	// rateObservedAt; zero before the first observation.
+	prefillRate    float64
+	rateObservedAt time.Time
+	rate           engineRate
 	// failureRate is the moving average of the share of failed calls.
 	failureRate float64
 	// failureStreak counts ejections since the last success.
@@ -119,14 +122,11 @@
 	defer lod.mut.Unlock()
 	snp = snapshot{
 		InFlight:    lod.local,
-		prefillRate: lod.prefillRate,
+		prefillRate: lod.rateAt(now),
 		failureRate: lod.failureRate,
 		ejected:     now.Before(lod.ejectedUntil) || lod.probing,
 	}
 	snp.add(lod.peers, 1)
-	if snp.prefillRate == 0 {
-		snp.prefillRate = defaultRate
-	}
 	lod.updatePrefillShare(now, snp.Pending.total() > 0)
 	snp.prefillShare = lod.prefillShare
 	snp.slowdown = max(1, lod.gaps.slowdownAt(now))
--- a/internal/router/place/reservation.go
+++ b/internal/router/place/reservation.go
@@ -49,6 +49,8 @@
 	sentAt         time.Time
 	// gapRisk is the call's part of the GapRisk in the load.
 	gapRisk float64
+	// remote is set if the engine is in another region.
+	remote bool
 	// probe is set if the call probes an ejected upstream.
 	probe bool
 	// lastEvent is when the last event arrived, and lastPending the number of tokens pending at the engine then.
@@ -75,18 +77,7 @@
 	}
 	lod.local.Pending[rsv.Rank] -= rsv.pending
 	rsv.pending = 0
-	took := float64(rsv.now().Sub(rsv.sentAt).Microseconds()) / 1000
-	if rsv.firstEventWork < minRateTokens || took <= 0 {
-		return
-	}
-	rate := min(max(float64(rsv.firstEventWork)/took, minRate), maxRate)
-	if lod.prefillRate == 0 {
-		lod.prefillRate = defaultRate
-	}
-	lod.prefillRate += rateWeight * (rate - lod.prefillRate)
-	if rsv.service != nil {
-		rsv.service.speed.observeRate(rate)
-	}
+	lod.observeRate(rsv, rsv.now())
 }
 
 // ObserveEvent reports an event of the response; its gap to the event before updates the slowdown of the engine.
--- a/internal/router/place/service.go
+++ b/internal/router/place/service.go
@@ -48,6 +48,8 @@
 	// prefillRate and prefillGap are moving averages over all engines; see load and gapTracker.
 	prefillRate float64
 	prefillGap  time.Duration
+	// byWork holds the mean prefill rates by the amount of work with which they were observed.
+	byWork [workBuckets]average
 }
 
 // get returns the prefill rate in tokens per millisecond and the gap between events during prefill.
