Keep slow engines out of the classes with short gap targets

The partition of the engines ignored their speed. On a service with a quarter of slow engines, four of 38 engines of the most urgent class caused half of its late streams: their steps are too long for the gap target.

Engines that are 15% or more below the median rate for 3 s now belong to the class with the highest gap target, and calls of other classes don't use them there. They change places with other engines of that class, so that the rest of the partition stays. In the model with 12 nodes and 24 engines, a quarter of them slow, no short prompt of a burst meets a slow engine, and some did before the nodes knew the rates; with equal engines none is moved and the recorded choices are unchanged.

--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -91,6 +91,9 @@
 	prefillRate    float64
 	rateObservedAt time.Time
 	rate           engineRate
+	// slow is set if the engine is slower than others of its service; offSince is when its rate began to say otherwise.
+	slow     bool
+	offSince time.Time
 	// failureRate is the moving average of the share of failed calls.
 	failureRate float64
 	// failureStreak counts ejections since the last success.
--- a/internal/router/place/partition.go
+++ b/internal/router/place/partition.go
@@ -32,6 +32,9 @@
 	// hash is the hash of the instance's ID.
 	hash  uint64
 	class class
+	// slow is set for slow engines, and speedStep is the rate of these; see moveSlow.
+	slow      bool
+	speedStep int
 	// remote is set for engines in another region than this node.
 	remote bool
 }
@@ -42,7 +45,9 @@
 	// list is the instances from which the partition was built.
 	list    []router.Instance
 	classes [][]*engine
-	byID    map[uint64]*engine
+	// usual is the engines of the last class that are not slow; calls of other classes may use these only.
+	usual []*engine
+	byID  map[uint64]*engine
 }
 
 // newPartition assigns each instance to a class. The engines of a class are those between its boundary and the one before,
@@ -56,20 +61,39 @@
 		ord = append(ord, eng)
 	}
 	interleaveDomains(ord)
+	ends := classEnds(len(ord), bounds)
+	if last := len(bounds) - 1; last > 0 && svc.separatesSlow() {
+		moveSlow(ord, ends[last-1])
+	}
 	start := 0
-	for cls, bnd := range bounds {
-		later := len(bounds) - 1 - cls
-		end := min(int(math.Round(bnd*float64(len(ord)))), len(ord)-later)
-		end = min(max(end, start+1), len(ord))
+	for cls, end := range ends {
 		par.classes[cls] = ord[start:end]
 		for _, eng := range ord[start:end] {
 			eng.class = class(cls)
 		}
 		start = end
 	}
+	for _, eng := range par.classes[len(bounds)-1] {
+		if !eng.slow {
+			par.usual = append(par.usual, eng)
+		}
+	}
 	return par
 }
 
+// classEnds returns the position behind the last engine of each class. A class has at least one engine as long as there are
+// enough.
+func classEnds(engines int, bounds []float64) (ends []int) {
+	start := 0
+	for cls, bnd := range bounds {
+		later := len(bounds) - 1 - cls
+		end := min(int(math.Round(bnd*float64(engines))), engines-later)
+		start = min(max(end, start+1), engines)
+		ends = append(ends, start)
+	}
+	return ends
+}
+
 // interleaveDomains sorts engines by hash, but with those of each failure domain spread evenly over the order.
 func interleaveDomains(engs []*engine) {
 	slices.SortFunc(engs, func(one, two *engine) int { return cmp.Compare(one.hash, two.hash) })
@@ -102,14 +126,18 @@
 		if cls == own {
 			limit = maxOwnClass
 		}
-		for _, eng := range topRanked(prefix, par.classes[cls], limit, own == 0 && par.nearEngines(cls) >= minNearEngines) {
+		engs := par.classes[cls]
+		if int(cls) == len(par.classes)-1 && own != cls {
+			engs = par.usual
+		}
+		for _, eng := range topRanked(prefix, engs, limit, own == 0 && par.nearEngines(cls) >= minNearEngines) {
 			seen[eng.load.id] = true
 			res = append(res, candidate{engine: eng, position: len(res)})
 		}
 	}
 	for _, ents := range holders {
 		for id := range ents {
-			if eng := par.byID[id]; eng != nil && !seen[id] {
+			if eng := par.byID[id]; eng != nil && !seen[id] && !par.tooSlow(eng, own) {
 				seen[id] = true
 				res = append(res, candidate{engine: eng, position: len(res)})
 			}
@@ -118,6 +146,12 @@
 	return res
 }
 
+// tooSlow reports whether an engine was moved to the last class because it is slow, and a call is of another class.
+func (par *partition) tooSlow(eng *engine, own class) bool {
+	last := class(len(par.classes) - 1)
+	return eng.slow && eng.class == last && own != last
+}
+
 // nearEngines returns how many engines of a class are in this node's region.
 func (par *partition) nearEngines(cls class) (num int) {
 	for _, eng := range par.classes[cls] {
--- a/internal/router/place/rates.go
+++ b/internal/router/place/rates.go
@@ -73,12 +73,17 @@
 }
 
 // longRate converts a rate observed with an amount of work into that of a long prompt. Steps, and the way to the engine,
-// make the rate seem lower for little work, and engines that serve short prompts would seem slow.
-func (spd *speed) longRate(rate float64, work int) float64 {
+// make the rate seem lower for little work, and engines that serve short prompts would seem slow. The means of the ranges
+// are those at an engine of the usual speed: known is the rate of this one, zero if unknown.
+func (spd *speed) longRate(rate float64, work int, known float64) float64 {
 	spd.mut.Lock()
 	defer spd.mut.Unlock()
 	bkt := &spd.byWork[min(bits.Len(uint(work/workUnit)), workBuckets-1)]
-	bkt.add(rate, serviceWeight)
+	if known > 0 && spd.median > 0 {
+		bkt.add(rate*spd.median/known, serviceWeight)
+	} else {
+		bkt.add(rate, serviceWeight)
+	}
 	ref := spd.byWork[referenceBucket]
 	if bkt.count < minBucketCount || ref.count < minBucketCount {
 		return rate
@@ -86,6 +91,13 @@
 	return min(max(rate*ref.value/bkt.value, minRate), maxRate)
 }
 
+// setMedian sets the median of the fleet's rates of the engines.
+func (spd *speed) setMedian(rate float64) {
+	spd.mut.Lock()
+	defer spd.mut.Unlock()
+	spd.median = rate
+}
+
 // rateAt returns the prefill rate of the engine: what this node observed lately, else what the fleet learned, else what
 // this node observed at any time, else a default. The caller holds the lock.
 func (lod *load) rateAt(now time.Time) (rate float64) {
@@ -107,7 +119,11 @@
 	}
 	rate := min(max(float64(rsv.firstEventWork)/took, minRate), maxRate)
 	if rsv.comparable() && lod.gaps.slowdownAt(now) < maxSpeedSlowdown {
-		lod.rate.observe(rsv.service.speed.longRate(rate, rsv.firstEventWork), now)
+		known := 0.0
+		if lod.rated() {
+			known = lod.rate.fleet.value
+		}
+		lod.rate.observe(rsv.service.speed.longRate(rate, rsv.firstEventWork, known), now)
 	}
 	if rsv.firstEventWork < minRateTokens {
 		return
--- a/internal/router/place/service.go
+++ b/internal/router/place/service.go
@@ -38,8 +38,10 @@
 	// divided is when the division was last adjusted; zero before the first call.
 	divided   time.Time
 	partition *partition
-	slots     int
-	speed     speed
+	// slowUpdated is when the rates of the engines were last compared.
+	slowUpdated time.Time
+	slots       int
+	speed       speed
 }
 
 // speed holds the usual speed of the engines of a service. Its lock may be taken while any other lock is held.
@@ -50,6 +52,8 @@
 	prefillGap  time.Duration
 	// byWork holds the mean prefill rates by the amount of work with which they were observed.
 	byWork [workBuckets]average
+	// median is the median of the fleet's rates of the engines; zero if unknown.
+	median float64
 }
 
 // get returns the prefill rate in tokens per millisecond and the gap between events during prefill.
@@ -219,7 +223,11 @@
 	svc = bal.serviceOf(req.Service)
 	svc.mut.Lock()
 	defer svc.mut.Unlock()
-	changed := svc.adjust(len(list), bal.options.Timers.Now())
+	now := bal.options.Timers.Now()
+	changed := svc.adjust(len(list), now)
+	if svc.partition != nil {
+		changed = svc.updateSlow(svc.partition, now) || changed
+	}
 	if par = svc.partition; changed || par == nil || len(par.list) != len(list) || &par.list[0] != &list[0] {
 		par = bal.newPartition(list, svc.bounds, svc)
 		svc.partition = par
