Price copies of KV cache by tokens instead of bytes

14 GB of copied KV cache cost one missed target.

With the old price, the case of small tokens and a short queue copies the prefix; it now waits at the engine that has it.

--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
@@ -39,11 +40,17 @@
 	}
 	lod := opt.load
 	rsv = lod.reserve(opt.prefillTokens, opt.rank, req, now)
-	rsv.Source, rsv.Late, rsv.remote = opt.source, opt.late, opt.remote
+	rsv.Late, rsv.remote = opt.late, opt.remote
+	if opt.source != nil {
+		rsv.Source = opt.source.Address
+	}
 	rsv.onStart = func() {
 		svc.begin(cls, req, opt.prefillTokens, now())
 		bal.prefixes.recordLocal(req.Prefixes, lod.id, false, now())
 		rsv.service, rsv.class = svc, cls
+		if opt.source != nil {
+			startCopy(opt.source.load, lod, opt.link, now())
+		}
 	}
 	rsv.onCached = func() { bal.prefixes.recordLocal(req.Prefixes, lod.id, true, now()) }
 	return opt.Instance, rsv, true
@@ -55,8 +62,10 @@
 
 	// prefillTokens is how many tokens of the prompt the engine has to prefill.
 	prefillTokens int
-	// source is the address of the engine to copy the KV cache of shared prefixes from; empty for none.
-	source string
+	// source is the engine to copy the KV cache of shared prefixes from; nil for none.
+	source *engine
+	// link is how long the copy takes, with those that are before it on the links.
+	link time.Duration
 	// rank is the call's rank in the engine's prefill queue.
 	rank int
 	// late is set if the call will miss its target by the estimate.
@@ -110,6 +119,8 @@
 	// source is an engine from which the KV cache of the first copyTokens tokens can be copied; nil if there is none.
 	source     *engine
 	copyTokens int
+	// linkWait is how long the source's link is still occupied.
+	linkWait time.Duration
 }
 
 // chooseEngine returns the option of the lowest cost: among the candidates for the call, else among all engines, else
@@ -157,6 +168,9 @@
 			}
 		}
 	}
+	if pst.source != nil {
+		pst.linkWait = pst.source.load.linkWait(now)
+	}
 	return pst
 }
 
--- a/internal/router/place/cost.go
+++ b/internal/router/place/cost.go
@@ -13,8 +13,6 @@
 	recomputeTokens = 12000
 	// minCopyTokens is the number of tokens from which copying KV cache between engines is worth a transfer.
 	minCopyTokens = 1000
-	// copyBytes is the amount of copied KV cache that costs as much as one SLO miss, in bytes, at the users' prices.
-	copyBytes = 14e9
 	// recomputeWindow is how long after the last use of a prefix, at any engine, recomputing it is charged.
 	recomputeWindow = 10 * time.Second
 	// positionCost is the cost per position of an engine in the list of candidates, which follows the ranking for the
@@ -74,20 +72,29 @@
 	cached := req.cachedTokens(pst.holders, can.load.id)
 	opt = option{engine: can.engine, prefillTokens: max(0, req.PromptTokens-cached)}
 	opt.cost = float64(max(0, pst.recentTokens-cached)) / recomputeTokens
+	own := opt.withPrefill(req, snp)
 	if pst.copyTokens-cached >= minCopyTokens {
-		opt.prefillTokens, opt.source = max(0, req.PromptTokens-pst.copyTokens), pst.source.Address
-		opt.cost = float64(pst.copyTokens-cached) * req.Engine.TokenBytes / copyBytes
+		opt = opt.copied(req, pst, snp, cached).withPrefill(req, snp)
 	}
-	cost, rnk, late := snp.waitingCost(req, opt.prefillTokens)
-	opt.rank, opt.late = rnk, late
-	opt.cost += cost + positionCost*float64(min(can.position, maxPosition))
+	if opt.source == nil || own.cost <= opt.cost {
+		opt = own
+	}
+	opt.cost += positionCost * float64(min(can.position, maxPosition))
 	opt.cost += runningCost*float64(snp.Running) + failureCost*snp.failureRate
 	opt.cost += bal.distanceCost(can.Instance, domainCost, regionCost)
-	opt.cost += req.gapRisk(req.prefillGap)*(gapMissCost*snp.prefillShare+slowdownCost*(snp.slowdown-1)) + snp.interference(opt.prefillTokens)
+	opt.cost += req.gapRisk(req.prefillGap) * (gapMissCost*snp.prefillShare + slowdownCost*(snp.slowdown-1))
 	opt.cost += mismatchCost(req.class, can.class)
 	return opt
 }
 
+// withPrefill adds the costs that depend on how many tokens are prefilled: waiting, and the interference with other calls.
+func (opt option) withPrefill(req Request, snp snapshot) option {
+	cost, rnk, late := snp.waitingCost(req, opt.prefillTokens, opt.link)
+	opt.rank, opt.late = rnk, late
+	opt.cost += cost + snp.interference(opt.prefillTokens)
+	return opt
+}
+
 // gapRisk returns the probability that a call misses its gap target while its engine prefills another prompt, which
 // usually causes gaps of prefillGap.
 func (req Request) gapRisk(prefillGap time.Duration) float64 {
@@ -104,24 +111,28 @@
 }
 
 // waitingCost returns the cost of the estimated time to the first event, the rank that the call gets, and whether it will be late.
-func (snp snapshot) waitingCost(req Request, prefillTokens int) (cost float64, rank int, late bool) {
+func (snp snapshot) waitingCost(req Request, prefillTokens int, link time.Duration) (cost float64, rank int, late bool) {
 	rank = req.Ranks.InTime
-	rel := snp.relativeWait(req, prefillTokens, rank)
+	rel := snp.relativeWait(req, prefillTokens, rank, link)
 	if late = rel > lateThreshold; late {
 		rank = req.Ranks.Late
-		rel = snp.relativeWait(req, prefillTokens, rank)
+		rel = snp.relativeWait(req, prefillTokens, rank, link)
 	}
 	return waitCost*rel + 1/(1+math.Exp(-missSteepness*(rel-missCentre))), rank, late
 }
 
-// relativeWait returns the estimated time to the first event as a fraction of the target.
-func (snp snapshot) relativeWait(req Request, prefillTokens, rank int) float64 {
+// relativeWait returns the estimated time to the first event as a fraction of the target. A copy, which takes the time link,
+// runs while the work ahead is prefilled.
+func (snp snapshot) relativeWait(req Request, prefillTokens, rank int, link time.Duration) float64 {
 	target := req.Target
 	if target <= 0 {
 		target = defaultTarget
 	}
 	wait := float64(snp.Pending.ahead(rank)+prefillTokens) / snp.prefillRate
 	wait += min(wait*(snp.slowdown-1), float64(slowRemaining.Milliseconds())*(1-1/snp.slowdown))
+	if link > 0 {
+		wait += max(0, link.Seconds()*1000-float64(snp.Pending.ahead(rank))/snp.prefillRate)
+	}
 	return wait / float64(target.Milliseconds())
 }
 
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -106,6 +106,8 @@
 	prefillShare   float64
 	prefillShareAt time.Time
 	gaps           gapTracker
+	// linkUntil is when the last copy on the engine's link ends, of those that this node started.
+	linkUntil time.Time
 }
 
 // snapshot is a consistent copy of a load.
@@ -116,6 +118,8 @@
 	failureRate  float64
 	ejected      bool
 	prefillShare float64
+	// linkWait is how long the engine's link is still occupied by copies.
+	linkWait time.Duration
 	// slowdown is how many times longer than usual the engine's gaps between events are; at least 1.
 	slowdown float64
 }
@@ -129,6 +133,7 @@
 		failureRate: lod.failureRate,
 		ejected:     now.Before(lod.ejectedUntil) || lod.probing,
 	}
+	snp.linkWait = lod.linkUntil.Sub(now)
 	snp.add(lod.peers, 1)
 	lod.updatePrefillShare(now, snp.Pending.total() > 0)
 	snp.prefillShare = lod.prefillShare
