Count cache memory and slots in the choice of an engine

64 calls with long prompts need twice the cache of an engine, and calls waited for memory at engines that held their prefix while others had memory left. Where slots times the mean prompt reach the cache of an engine, nodes now exchange the tokens that calls in flight occupy. The expected time until there are memory and a slot counts as waiting time, prefixes that an engine has evicted since no longer count as cached, and evicting others has a price.

A hot prefix at a full engine moves; one at an engine with free memory stays. The recorded choices for a service with enough memory are unchanged.

--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -74,6 +74,7 @@
 			Slow:     float32(pes.balancer.LocalSlowdown(id)),
 
 			PrefillRate: float32(pes.balancer.LocalRate(id)),
+			CacheTokens: uint64(max(0, inf.CacheTokens)),
 		}
 		for _, num := range inf.Pending {
 			lod.Unread = append(lod.Unread, uint32(max(0, num)))
@@ -106,7 +107,7 @@
 		if isInvalidAmount(lod.GetFragile()) || isInvalidAmount(lod.GetSlow()) || isInvalidAmount(lod.GetPrefillRate()) {
 			continue
 		}
-		inf := place.InFlight{Running: int(lod.GetRunning()), GapRisk: float64(lod.GetFragile())}
+		inf := place.InFlight{Running: int(lod.GetRunning()), GapRisk: float64(lod.GetFragile()), CacheTokens: int(min(lod.GetCacheTokens(), math.MaxInt32))}
 		for num, val := range lod.GetUnread() {
 			if num < router.EngineRanks {
 				inf.Pending[num] = int(val)
--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -172,6 +172,7 @@
 	for _, plc := range pls {
 		bal.prefixes.record(plc, now)
 	}
+	bal.placePeerParts(pls, now)
 }
 
 // Request holds the properties of a call that its placement depends on.
@@ -191,10 +192,11 @@
 	// Engine describes the engines of the service; nil if the service has no description of them.
 	Engine *router.EngineSpec
 
-	// class and prefillGap are set by Choose: the class of the call, and the usual gap between events during prefill at the
-	// engines of the service.
+	// class, prefillGap and memory are set by Choose: the class of the call, the usual gap between events during prefill at
+	// the engines of the service, and the view of their cache memory, nil if it is not scarce.
 	class      class
 	prefillGap time.Duration
+	memory     *memoryView
 }
 
 // Prefix is a prefix of a prompt.
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -32,8 +32,7 @@
 		ins = bal.choosePlain(cans)
 		return ins, bal.loadOf(ins).reserve(0, req.Ranks.InTime, req, now), true
 	}
-	svc, par, cls, gap := bal.serviceState(req, list)
-	req.class, req.prefillGap = cls, gap
+	svc, par := bal.serviceState(&req, list)
 	opt, ok := bal.chooseEngine(req, par, avoid)
 	if !ok {
 		return router.Instance{}, nil, false
@@ -45,9 +44,10 @@
 		rsv.Source = opt.source.Address
 	}
 	rsv.onStart = func() {
-		svc.begin(cls, req, opt.prefillTokens, now())
+		svc.begin(req.class, req, opt.prefillTokens, now())
 		bal.prefixes.recordLocal(req.Prefixes, lod.id, false, now())
-		rsv.service, rsv.class = svc, cls
+		lod.placeParts(req.Prefixes, now())
+		rsv.service, rsv.class = svc, req.class
 		if opt.source != nil {
 			startCopy(opt.source.load, lod, opt.link, now())
 		}
@@ -70,6 +70,8 @@
 	rank int
 	// late is set if the call will miss its target by the estimate.
 	late bool
+	// room is the state of the engine's cache memory.
+	room room
 	// cost is in expected SLO misses.
 	cost float64
 }
@@ -145,7 +147,7 @@
 		if snp.ejected && !ejected || avoid(can.Instance) {
 			continue
 		}
-		if opt := bal.evaluate(req, pst, can, snp); !ok || opt.cost < best.cost {
+		if opt := bal.evaluate(req, pst, can, snp, now); !ok || opt.cost < best.cost {
 			best, ok = opt, true
 		}
 	}
@@ -156,6 +158,9 @@
 func (bal *Balancer) prefixState(req Request, par *partition) (pst prefixState) {
 	now := bal.options.Timers.Now()
 	pst.holders = bal.prefixes.holders(req.Prefixes, now)
+	if req.memory != nil {
+		req.memory.dropEvicted(pst.holders, par, now)
+	}
 	for num, pfx := range req.Prefixes {
 		pst.longest = pfx.Hash
 		for id, ent := range pst.holders[num] {
--- a/internal/router/place/copies.go
+++ b/internal/router/place/copies.go
@@ -15,7 +15,7 @@
 // has one copy after another on its link, at both ends.
 func (opt option) copied(req Request, pst prefixState, snp snapshot, cached int) option {
 	opt.prefillTokens, opt.source = max(0, req.PromptTokens-pst.copyTokens), pst.source
-	opt.cost = copyShare * float64(pst.copyTokens-cached) / recomputeTokens
+	opt.cost = opt.room.evicted + copyShare*float64(pst.copyTokens-cached)/recomputeTokens
 	opt.link = max(0, pst.linkWait, snp.linkWait) + req.linkTime(pst.copyTokens-cached)
 	return opt
 }
--- a/internal/router/place/cost.go
+++ b/internal/router/place/cost.go
@@ -68,10 +68,14 @@
 )
 
 // evaluate returns the option of sending a call to an engine.
-func (bal *Balancer) evaluate(req Request, pst prefixState, can candidate, snp snapshot) (opt option) {
+func (bal *Balancer) evaluate(req Request, pst prefixState, can candidate, snp snapshot, now time.Time) (opt option) {
 	cached := req.cachedTokens(pst.holders, can.load.id)
 	opt = option{engine: can.engine, prefillTokens: max(0, req.PromptTokens-cached)}
 	opt.cost = float64(max(0, pst.recentTokens-cached)) / recomputeTokens
+	if req.memory != nil {
+		opt.room = req.memory.room(req, can.engine, snp, cached, now)
+		opt.cost += opt.room.evicted
+	}
 	own := opt.withPrefill(req, snp)
 	if pst.copyTokens-cached >= minCopyTokens {
 		opt = opt.copied(req, pst, snp, cached).withPrefill(req, snp)
@@ -89,7 +93,7 @@
 
 // withPrefill adds the costs that depend on how many tokens are prefilled: waiting, and the interference with other calls.
 func (opt option) withPrefill(req Request, snp snapshot) option {
-	cost, rnk, late := snp.waitingCost(req, opt.prefillTokens, opt.link)
+	cost, rnk, late := snp.waitingCost(req, opt)
 	opt.rank, opt.late = rnk, late
 	opt.cost += cost + snp.interference(opt.prefillTokens)
 	return opt
@@ -111,28 +115,30 @@
 }
 
 // waitingCost returns the cost of the estimated time to the first event, the rank that the call gets, and whether it will be late.
-func (snp snapshot) waitingCost(req Request, prefillTokens int, link time.Duration) (cost float64, rank int, late bool) {
+func (snp snapshot) waitingCost(req Request, opt option) (cost float64, rank int, late bool) {
 	rank = req.Ranks.InTime
-	rel := snp.relativeWait(req, prefillTokens, rank, link)
+	rel := snp.relativeWait(req, opt, rank)
 	if late = rel > lateThreshold; late {
 		rank = req.Ranks.Late
-		rel = snp.relativeWait(req, prefillTokens, rank, link)
+		rel = snp.relativeWait(req, opt, rank)
 	}
 	return waitCost*rel + 1/(1+math.Exp(-missSteepness*(rel-missCentre))), rank, late
 }
 
 // relativeWait returns the estimated time to the first event as a fraction of the target. A copy, which takes the time link,
 // runs while the work ahead is prefilled.
-func (snp snapshot) relativeWait(req Request, prefillTokens, rank int, link time.Duration) float64 {
+func (snp snapshot) relativeWait(req Request, opt option, rank int) float64 {
 	target := req.Target
 	if target <= 0 {
 		target = defaultTarget
 	}
-	wait := float64(snp.Pending.ahead(rank)+prefillTokens) / snp.prefillRate
+	ahead := snp.Pending.ahead(rank)
+	wait := float64(ahead+opt.prefillTokens) / snp.prefillRate
 	wait += min(wait*(snp.slowdown-1), float64(slowRemaining.Milliseconds())*(1-1/snp.slowdown))
-	if link > 0 {
-		wait += max(0, link.Seconds()*1000-float64(snp.Pending.ahead(rank))/snp.prefillRate)
+	if opt.link > 0 {
+		wait += max(0, opt.link.Seconds()*1000-float64(ahead)/snp.prefillRate)
 	}
+	wait += opt.room.wait().Seconds() * 1000
 	return wait / float64(target.Milliseconds())
 }
 
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -68,6 +68,8 @@
 	Running int
 	// GapRisk is the expected number of running calls that miss their gap target while the engine prefills another prompt.
 	GapRisk float64
+	// CacheTokens is how many tokens of KV cache the calls occupy besides the prefixes that they share with others.
+	CacheTokens int
 }
 
 func (inf *InFlight) add(oth InFlight, sign int) {
@@ -76,6 +78,7 @@
 	}
 	inf.Running += sign * oth.Running
 	inf.GapRisk += float64(sign) * oth.GapRisk
+	inf.CacheTokens += sign * oth.CacheTokens
 }
 
 // load is the load and health of one incarnation.
@@ -108,6 +111,7 @@
 	gaps           gapTracker
 	// linkUntil is when the last copy on the engine's link ends, of those that this node started.
 	linkUntil time.Time
+	use       cacheUse
 }
 
 // snapshot is a consistent copy of a load.
@@ -158,7 +162,7 @@
 func (lod *load) reserve(prefillTokens, rank int, req Request, now func() time.Time) *Reservation {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	rsv := &Reservation{load: lod, now: now, pending: prefillTokens, sentAt: now(), gapRisk: req.gapRisk(req.prefillGap)}
+	rsv := &Reservation{load: lod, now: now, pending: prefillTokens, sentAt: now(), gapRisk: req.gapRisk(req.prefillGap), cacheTokens: req.ownTokens()}
 	if lod.failureStreak > 0 && !lod.ejectedUntil.IsZero() {
 		lod.probing = true
 		rsv.probe = true
@@ -170,6 +174,8 @@
 	lod.local.Pending[rsv.Rank] += prefillTokens
 	lod.local.Running++
 	lod.local.GapRisk += rsv.gapRisk
+	lod.use.advance(all.CacheTokens, rsv.sentAt)
+	lod.local.CacheTokens += rsv.cacheTokens
 	return rsv
 }
 
@@ -179,6 +185,8 @@
 	defer lod.mut.Unlock()
 	lod.local.Pending[rsv.Rank] -= rsv.pending
 	lod.local.Running--
+	lod.use.advance(lod.local.CacheTokens+lod.peers.CacheTokens, rsv.now())
+	lod.local.CacheTokens -= rsv.cacheTokens
 	lod.local.GapRisk = max(0, lod.local.GapRisk-rsv.gapRisk)
 	if rsv.probe {
 		lod.probing = false
--- a/internal/router/place/model_test.go
+++ b/internal/router/place/model_test.go
@@ -46,6 +46,8 @@
 	random  *rand.Rand
 	// exchange is set if nodes tell each other their loads and rates.
 	exchange bool
+	// blind is set if nodes don't know the capacity of caches; they place calls as before memory was considered.
+	blind bool
 }
 
 const tick = 5 * time.Millisecond
@@ -178,9 +180,13 @@
 func (mod *model) prompt(shared, own, output, prefixes int, target, gap time.Duration) func() Request {
 	return func() Request {
 		part := uint64(mod.random.IntN(prefixes) + 1000*shared)
+		spec := &router.EngineSpec{Slots: 64, CacheTokens: mod.engines[mod.list[0].ID].capacity}
+		if mod.blind {
+			spec.CacheTokens = 0
+		}
 		return Request{
 			Prefixes: SharedPrefixes([]router.PromptPart{{ID: part, Tokens: shared}, {ID: 1, Tokens: own}}), PromptTokens: shared + own, OutputTokens: output,
-			Target: target, GapTarget: gap, Ranks: router.Ranks{InTime: 1, Late: 2}, Engine: &router.EngineSpec{Slots: 64, CacheTokens: mod.engines[mod.list[0].ID].capacity},
+			Target: target, GapTarget: gap, Ranks: router.Ranks{InTime: 1, Late: 2}, Engine: spec,
 		}
 	}
 }
--- a/internal/router/place/prefixes.go
+++ b/internal/router/place/prefixes.go
@@ -37,12 +37,16 @@
 	entries map[uint64]map[uint64]cacheEntry
 	// unreported holds the placements by this node that peers have not been sent yet.
 	unreported []Placement
+	// tokens holds the length of the last part of each prefix, where this node has seen a call with it, and mean the mean
+	// of these.
+	tokens map[uint64]int
+	mean   average
 	// records counts calls of record since the last sweep.
 	records int
 }
 
 func newPrefixIndex() *prefixIndex {
-	return &prefixIndex{entries: make(map[uint64]map[uint64]cacheEntry)}
+	return &prefixIndex{entries: make(map[uint64]map[uint64]cacheEntry), tokens: make(map[uint64]int)}
 }
 
 // record updates the entry of a placement's prefix.
@@ -65,10 +69,14 @@
 
 // recordLocal records a placement of each prefix by this node and queues them to be reported to peers.
 func (pix *prefixIndex) recordLocal(pfs []Prefix, instance uint64, cached bool, now time.Time) {
+	before := 0
 	for _, pfx := range pfs {
 		plc := Placement{Prefix: pfx.Hash, Instance: instance, Cached: cached}
 		pix.record(plc, now)
 		pix.mut.Lock()
+		pix.tokens[pfx.Hash] = pfx.Tokens - before
+		pix.mean.add(float64(pfx.Tokens-before), serviceWeight)
+		before = pfx.Tokens
 		if len(pix.unreported) < maxUnreported {
 			pix.unreported = append(pix.unreported, plc)
 		}
@@ -92,6 +100,16 @@
 	return hds
 }
 
+// partTokens returns the length of the last part of a prefix, or an estimate if this node has seen no call with it.
+func (pix *prefixIndex) partTokens(prefix uint64) int {
+	pix.mut.Lock()
+	defer pix.mut.Unlock()
+	if num, fnd := pix.tokens[prefix]; fnd {
+		return num
+	}
+	return int(pix.mean.value)
+}
+
 func (pix *prefixIndex) drain() (pls []Placement) {
 	pix.mut.Lock()
 	defer pix.mut.Unlock()
@@ -110,6 +128,7 @@
 		}
 		if len(ents) == 0 {
 			delete(pix.entries, pfx)
+			delete(pix.tokens, pfx)
 		}
 	}
 }
--- a/internal/router/place/reservation.go
+++ b/internal/router/place/reservation.go
@@ -49,6 +49,8 @@
 	sentAt         time.Time
 	// gapRisk is the call's part of the GapRisk in the load.
 	gapRisk float64
+	// cacheTokens is the call's part of the CacheTokens in the load.
+	cacheTokens int
 	// remote is set if the engine is in another region.
 	remote bool
 	// probe is set if the call probes an ejected upstream.
@@ -106,7 +108,9 @@
 	rsv.once.Do(func() {
 		rsv.load.release(rsv, res)
 		if rsv.service != nil {
-			rsv.service.end(rsv.class, rsv.now())
+			now := rsv.now()
+			rsv.service.end(rsv.class, now)
+			rsv.service.observeResidence(rsv.class, now.Sub(rsv.sentAt))
 		}
 	})
 }
--- a/internal/router/place/service.go
+++ b/internal/router/place/service.go
@@ -41,6 +41,7 @@
 	// slowUpdated is when the rates of the engines were last compared.
 	slowUpdated time.Time
 	slots       int
+	memory      memoryState
 	speed       speed
 }
 
@@ -201,6 +202,7 @@
 	svc.mut.Lock()
 	defer svc.mut.Unlock()
 	svc.meters[cls].begin(prefillTokens, now)
+	svc.memory.prompt.add(float64(req.PromptTokens), serviceWeight)
 	if req.Engine != nil && req.Engine.Slots > 0 {
 		svc.slots = req.Engine.Slots
 	}
@@ -218,8 +220,9 @@
 // serviceWeight is the weight of the newest observation of an engine in the averages of its service.
 const serviceWeight = 0.02
 
-// serviceState returns the service and the class of a call, the partition of a list of engines, and the usual gap during prefill.
-func (bal *Balancer) serviceState(req Request, list []router.Instance) (svc *service, par *partition, cls class, prefillGap time.Duration) {
+// serviceState returns the service of a call and the partition of a list of engines, and sets what the service knows in the
+// request.
+func (bal *Balancer) serviceState(req *Request, list []router.Instance) (svc *service, par *partition) {
 	svc = bal.serviceOf(req.Service)
 	svc.mut.Lock()
 	defer svc.mut.Unlock()
@@ -232,8 +235,12 @@
 		par = bal.newPartition(list, svc.bounds, svc)
 		svc.partition = par
 	}
-	_, prefillGap = svc.speed.get()
-	return svc, par, svc.classOf(req), prefillGap
+	_, req.prefillGap = svc.speed.get()
+	req.class = svc.classOf(*req)
+	if svc.memory.scarce(req.Engine) {
+		req.memory = &memoryView{spec: req.Engine, state: svc.memory}
+	}
+	return svc, par
 }
 
 // serviceOf returns the state of a service and creates it if necessary.
