Log why an engine with a cached prefix was passed over

Neither log nor metrics told whether a prefix was prefilled again because of memory, slots, a queue or a slow engine. The line request done now has SavedTokens, WaitMs and Passed, and metrics by route count them. The test names each reason by a load that causes it.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -209,6 +209,7 @@
 	late := job.Route.Target > 0 && rep.FirstEvent > job.Route.Target || job.Route.GapTarget > 0 && rep.MaxGap > job.Route.GapTarget
 	han.routes.Observe(meter.RouteObservation{
 		Route: job.Route.Name, Outcome: string(rep.Outcome), Status: rep.Status, FirstEvent: rep.FirstEvent, MaxGap: rep.MaxGap, Attempts: rep.Attempts, Late: late,
+		SavedTokens: rep.Estimate.SavedTokens, Wait: rep.Estimate.Wait, Passed: string(rep.Estimate.Passed),
 	})
 	if rep.Outcome == router.Ran && rep.Reason == "" && !late && !han.successLog.Allow() {
 		han.meter.Event("line_left_out")
@@ -218,6 +219,7 @@
 	han.log.Info("request done", "Request", job.Call.ID, "Route", job.Route.Name, "Workspace", job.Workspace, "Tier", job.Tier,
 		"Outcome", rep.Outcome, "Status", rep.Status, "Upstream", rep.Upstream, "Sends", rep.Attempts, "Reason", rep.Reason,
 		"PromptTokens", job.Call.PromptTokens, "HintTokens", job.Call.OutputTokens, "AheadTokens", est.AheadTokens, "ReadTokens", est.PrefillTokens, "Rank", est.Rank, "CopiedFrom", est.Source, "Slow", math.Round(10*est.Slowdown)/10,
+		"SavedTokens", est.SavedTokens, "WaitMs", est.Wait.Milliseconds(), "Passed", est.Passed,
 		"FirstMs", rep.FirstEvent.Milliseconds(), "TargetMs", job.Route.Target.Milliseconds(),
 		"PauseMs", rep.MaxGap.Milliseconds(), "PauseTargetMs", job.Route.GapTarget.Milliseconds(),
 		"TookMs", han.timers.Now().Sub(job.Call.Arrived).Milliseconds(), "Late", late, "Events", rep.Events, "Manifest", han.ManifestVersion())
--- a/internal/router/meter/route.go
+++ b/internal/router/meter/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,11 @@
 	Attempts int
 	// Late is set when the answer exceeded a latency objective of the route.
 	Late bool
+	// SavedTokens is how many tokens of the prompt were cached or copied at the engine, Wait the estimated time until it had
+	// memory and a slot, and Passed why one that holds more of the prefix was passed over, by the estimate; see place.Estimate.
+	SavedTokens int
+	Wait        time.Duration
+	Passed      string
 }
 
 // routeBuckets are the bounds of the histograms of routes, dense around targets of 100 ms to 3 s.
@@ -63,6 +69,15 @@
 	if obs.MaxGap > 0 {
 		scp.Histogram("route_pause_seconds", routeBuckets).RecordDuration(obs.MaxGap)
 	}
+	if obs.SavedTokens > 0 {
+		scp.Counter("route_saved_tokens_total").Inc(int64(obs.SavedTokens))
+	}
+	if obs.Wait > 0 {
+		scp.Histogram("route_room_wait_seconds", routeBuckets).RecordDuration(obs.Wait)
+	}
+	if obs.Passed != "" {
+		scp.Counter("route_passed_" + strings.ToLower(obs.Passed) + "_total").Inc(1)
+	}
 }
 
 func (rts *Routes) scope(route string) tally.Scope {
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -40,6 +40,7 @@
 	lod := opt.load
 	rsv = lod.reserve(opt.prefillTokens, opt.rank, req, now)
 	rsv.Late, rsv.remote = opt.late, opt.remote
+	rsv.SavedTokens, rsv.Wait, rsv.Passed = max(0, req.PromptTokens-opt.prefillTokens), opt.room.wait(), opt.passedOver
 	if opt.source != nil {
 		rsv.Source = opt.source.Address
 	}
@@ -60,7 +61,9 @@
 type option struct {
 	*engine
 
-	// prefillTokens is how many tokens of the prompt the engine has to prefill.
+	// cached is how many tokens of the prompt the engine has cached; prefillTokens how many it has to prefill, which is less
+	// than the rest if it copies some.
+	cached        int
 	prefillTokens int
 	// source is the engine to copy the KV cache of shared prefixes from; nil for none.
 	source *engine
@@ -70,6 +73,8 @@
 	rank int
 	// late is set if the call will miss its target by the estimate.
 	late bool
+	// passedOver is set in the chosen option if an engine with more of the prefix was not chosen.
+	passedOver Passed
 	// room is the state of the engine's cache memory.
 	room room
 	// cost is in expected SLO misses.
@@ -136,21 +141,33 @@
 	if !ok {
 		best, ok = bal.cheapest(req, pst, par.all(), avoid, true)
 	}
+	if best.passedOver == "" && par.heldBySlow(req, pst.holders, best.cached) {
+		best.passedOver = PassedSlow
+	}
 	return best, ok
 }
 
 // cheapest returns the option of the lowest cost among candidates; it skips ejected ones unless ejected is set.
 func (bal *Balancer) cheapest(req Request, pst prefixState, cans []candidate, avoid func(ins router.Instance) bool, ejected bool) (best option, ok bool) {
 	now := bal.options.Timers.Now()
+	var holder option
+	var state snapshot
 	for _, can := range cans {
 		snp := can.load.snapshot(now)
 		if snp.ejected && !ejected || avoid(can.Instance) {
 			continue
 		}
-		if opt := bal.evaluate(req, pst, can, snp, now); !ok || opt.cost < best.cost {
+		opt := bal.evaluate(req, pst, can, snp, now)
+		if opt.cached > 0 && (holder.engine == nil || opt.better(holder)) {
+			holder, state = opt, snp
+		}
+		if !ok || opt.cost < best.cost {
 			best, ok = opt, true
 		}
 	}
+	if holder.cached > best.cached {
+		best.passedOver = holder.passed(state)
+	}
 	return best, ok
 }
 
--- a/internal/router/place/cost.go
+++ b/internal/router/place/cost.go
@@ -70,7 +70,7 @@
 // evaluate returns the option of sending a call to an engine.
 func (bal *Balancer) evaluate(req Request, pst prefixState, can candidate, snp snapshot, now time.Time) (opt option) {
 	cached := req.cachedTokens(pst.holders, can.load.id)
-	opt = option{engine: can.engine, prefillTokens: max(0, req.PromptTokens-cached)}
+	opt = option{engine: can.engine, cached: cached, prefillTokens: max(0, req.PromptTokens-cached)}
 	opt.cost = float64(max(0, pst.recentTokens-cached)) / recomputeTokens
 	if req.memory != nil {
 		opt.room = req.memory.room(req, can.engine, snp, cached, now)
--- a/internal/router/place/memory_test.go
+++ b/internal/router/place/memory_test.go
@@ -117,3 +117,38 @@
 		rsv.Release(Served)
 	}
 }
+
+// TestPassedStatesReason has an engine with a hot prefix that is not chosen. It guards against log lines that give another
+// reason than the one that kept the call away.
+func TestPassedStatesReason(t *testing.T) {
+	const capacity = 500000
+	long := PendingTokens{8 * 40 * 2500}
+	cases := map[string]struct {
+		load InFlight
+		slow float64
+		want Passed
+	}{
+		"chosen":          {load: InFlight{Running: 10, CacheTokens: 40000}},
+		"memory is full":  {load: InFlight{Running: 40, CacheTokens: 4 * capacity}, want: PassedMemory},
+		"slots are taken": {load: InFlight{Running: 120, CacheTokens: 40000}, want: PassedSlots},
+		"long queue":      {load: InFlight{Running: 50, Pending: long}, want: PassedQueue},
+		"slow period":     {load: InFlight{Running: 50, GapRisk: 30}, slow: 4, want: PassedSlow},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			mod := newModel(1, 12, 0, capacity, nil)
+			hot := mod.prompt(13300, 3720, 100, 1, 2500*time.Millisecond, time.Second)
+			home := mod.warm(hot)
+			for class := range home.service.memory.residence {
+				home.service.memory.residence[class] = average{value: 4000, count: 1}
+			}
+			mod.nodes[0].SetPeerLoads("peer", map[uint64]InFlight{home.load.id: cas.load})
+			if cas.slow > 0 {
+				mod.nodes[0].SetPeerSlowdown(home.load.id, cas.slow)
+			}
+			if cal := mod.send(0, hot()); cal.Passed != cas.want || cas.want == "" && cal.SavedTokens != 13300 {
+				t.Errorf("passed %q, saved %d tokens", cal.Passed, cal.SavedTokens)
+			}
+		})
+	}
+}
--- a/internal/router/place/reservation.go
+++ b/internal/router/place/reservation.go
@@ -21,6 +21,12 @@
 	Running int
 	// Late is set if the call was expected to miss its target.
 	Late bool
+	// SavedTokens is how many tokens of the prompt were not prefilled because they were cached or copied.
+	SavedTokens int
+	// Wait is the estimated time until the engine had memory and a slot for the call.
+	Wait time.Duration
+	// Passed is why an engine that holds more of the prompt's prefix was passed over.
+	Passed Passed
 }
 
 // Crowded reports whether a call has to wait at an instance: all its slots are taken, or the call will miss its target.
