Log and count engines that are found to be slow

Nodes moved slow engines to another class without a trace. Each finding is now logged with the rate of the engine and the median of its service, and counted. Tests check that digests state rates and cache memory, also of engines without calls in flight, and that absurd values of peers are dropped or bounded.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -99,7 +99,7 @@
 	for _, dom := range set.Platform.FailureDomains {
 		regions[dom.Name] = dom.Region
 	}
-	balancer := place.New(place.Options{Timers: opt.Timers, FailureDomain: set.FailureDomain, Regions: regions})
+	balancer := place.New(place.Options{Timers: opt.Timers, FailureDomain: set.FailureDomain, Regions: regions, OnSpeed: nod.recordSpeed})
 	nod.balancer = balancer
 	pools := conns.NewPools()
 	trs := terms.New(opt.Timers, opt.Log)
--- a/internal/router/edge/peers_test.go
+++ b/internal/router/edge/peers_test.go
@@ -71,6 +71,10 @@
 		"gap risk is negative":   {Running: 1, Fragile: -5},
 		"slowdown is no number":  {Running: 1, Slow: nan},
 		"slowdown is infinite":   {Running: 1, Slow: inf},
+		"rate is no number":      {Running: 1, PrefillRate: nan},
+		"rate is infinite":       {Running: 1, PrefillRate: inf},
+		"rate is negative":       {Running: 1, PrefillRate: -5},
+		"cache beyond any size":  {Running: 1, CacheTokens: math.MaxUint64},
 		"tokens beyond any rank": {Running: 1, Unread: make([]uint32, 1000)},
 	}
 	for name, lod := range cases {
@@ -91,6 +95,24 @@
 	}
 }
 
+// TestDigestStatesRateAndMemory guards against peers that never learn the speed of an engine which no call runs at any more, or
+// the cache memory that calls occupy.
+func TestDigestStatesRateAndMemory(t *testing.T) {
+	fix := newPeerFixture(t)
+	req := place.Request{Service: "engines", PromptTokens: 1000, OutputTokens: 200}
+	_, rsv, _ := fix.balancer.Choose(req, fix.instances, func(router.Instance) bool { return false })
+	fix.timers.(*timer.Manual).Advance(50 * time.Millisecond)
+	rsv.ObserveEvent()
+	for _, want := range []*wire.InstanceLoad{{CacheTokens: 1200, PrefillRate: 20}, {PrefillRate: 20}} {
+		dig := &wire.Digest{}
+		fix.AddLocal(dig)
+		if len(dig.Loads) != 1 || dig.Loads[0].GetCacheTokens() != want.GetCacheTokens() || dig.Loads[0].GetPrefillRate() != want.GetPrefillRate() {
+			t.Errorf("loads %v, want %v", dig.GetLoads(), want)
+		}
+		rsv.Release(place.Served)
+	}
+}
+
 // TestPeersShareQuarantinedParts guards against a node that sends requests with a deadly part although its peers saw it crash
 // upstreams, and against one that refuses a part which was answered at a peer. Nodes of an older release report no parts.
 func TestPeersShareQuarantinedParts(t *testing.T) {
@@ -201,7 +223,7 @@
 // FuzzDigest checks that no datagram of a peer ends the process or leaves a load behind that is no number.
 func FuzzDigest(f *testing.F) {
 	seed, err := proto.Marshal(&wire.Digest{
-		Node: "peer", Loads: []*wire.InstanceLoad{{Instance: 1, Running: 3, Unread: []uint32{1, 2}, Fragile: 0.5, Slow: 2}},
+		Node: "peer", Loads: []*wire.InstanceLoad{{Instance: 1, Running: 3, Unread: []uint32{1, 2}, Fragile: 0.5, Slow: 2, CacheTokens: 7, PrefillRate: 30}},
 		Demands:    []*wire.ServiceDemand{{Service: 1, Calls: []float32{1}, PrefillTokens: []float32{2}, Running: []float32{3}}},
 		Placements: []*wire.Placement{{Prefix: 1, Instance: 1, Read: true}}, Strikes: []*wire.CrashStrike{{Request: "a", Instance: "b"}},
 	})
--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -16,6 +16,8 @@
 	FailureDomain string
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
+	// OnSpeed is called when an engine is found to be slow, or no longer; nil for none. It must not call the Balancer.
+	OnSpeed func(chg SpeedChange)
 }
 
 // Balancer tracks the load of upstreams as reported by this node and its peers, and chooses upstreams for calls.
--- a/internal/router/place/doc.go
+++ b/internal/router/place/doc.go
@@ -34,6 +34,15 @@
 // that they occupy. Nodes tell each other the demand that they see, so that they come to nearly the same division, and
 // move its boundaries in small steps; see divide.
 //
+// Engines that prefill more slowly than others of the service, by the rates that nodes exchange, belong to the class with
+// the highest gap target; calls of other classes don't use them there. See updateSlow.
+//
+// # Cache memory
+//
+// Where the calls in all slots of an engine need more than its KV cache, the time until there is memory and a slot for a call
+// counts as waiting time, prefixes that the engine has evicted since their last use don't count as cached, and what the
+// engine evicts for the call has a price. See memoryView.
+//
 // # Ranks
 //
 // Engines prefill queued prompts in the order of their rank. A call that will miss its
--- a/internal/router/place/service.go
+++ b/internal/router/place/service.go
@@ -229,7 +229,12 @@
 	now := bal.options.Timers.Now()
 	changed := svc.adjust(len(list), now)
 	if svc.partition != nil {
-		changed = svc.updateSlow(svc.partition, now) || changed
+		for _, chg := range svc.updateSlow(svc.partition, now) {
+			changed = true
+			if bal.options.OnSpeed != nil {
+				bal.options.OnSpeed(chg)
+			}
+		}
 	}
 	if par = svc.partition; changed || par == nil || len(par.list) != len(list) || &par.list[0] != &list[0] {
 		par = bal.newPartition(list, svc.bounds, svc)
--- a/internal/router/place/slow.go
+++ b/internal/router/place/slow.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
 
 const (
@@ -22,6 +24,16 @@
 	minRated     = 4
 )
 
+// SpeedChange is the finding that an engine is slow, or no longer.
+type SpeedChange struct {
+	Service  string
+	Instance router.Instance
+	Slow     bool
+	// Rate is the prefill rate of the engine and Median that of the service, in tokens per millisecond, as the fleet
+	// observed them.
+	Rate, Median float64
+}
+
 // rated reports whether the fleet observed the rate of the engine often enough to compare it. The caller holds the lock.
 func (lod *load) rated() bool {
 	return lod.rate.fleet.count >= minSlowCount
@@ -32,10 +44,10 @@
 	return len(svc.gapTargets) > 1
 }
 
-// updateSlow compares the rates of the engines with their median and reports whether an engine became slow or is no longer.
-func (svc *service) updateSlow(par *partition, now time.Time) (changed bool) {
+// updateSlow compares the rates of the engines with their median and returns which engines became slow or are no longer.
+func (svc *service) updateSlow(par *partition, now time.Time) (chgs []SpeedChange) {
 	if !svc.separatesSlow() || now.Sub(svc.slowUpdated) < slowInterval {
-		return false
+		return nil
 	}
 	svc.slowUpdated = now
 	var all []float64
@@ -54,7 +66,7 @@
 	}
 	mid := median(all)
 	if mid == 0 {
-		return false
+		return nil
 	}
 	svc.speed.setMedian(mid)
 	for cls, engs := range par.classes {
@@ -64,18 +76,20 @@
 			limit = min(mid, medians[cls])
 		}
 		for _, eng := range engs {
-			changed = eng.load.updateSlow(slowRatio*limit, usualRatio*mid, now) || changed
+			if slow, rate, changed := eng.load.updateSlow(slowRatio*limit, usualRatio*mid, now); changed {
+				chgs = append(chgs, SpeedChange{Service: eng.Service, Instance: eng.Instance, Slow: slow, Rate: rate, Median: mid})
+			}
 		}
 	}
-	return changed
+	return chgs
 }
 
 // updateSlow makes the engine slow once its rate was below one limit for slowFor, and no longer slow once it was above the
-// other. It reports whether that changed.
-func (lod *load) updateSlow(slowRate, usualRate float64, now time.Time) (changed bool) {
+// other. It returns whether it is slow, its rate, and whether that changed.
+func (lod *load) updateSlow(slowRate, usualRate float64, now time.Time) (slow bool, rate float64, changed bool) {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	rate := lod.rate.fleet.value
+	rate = lod.rate.fleet.value
 	off := lod.rated() && (!lod.slow && rate < slowRate || lod.slow && rate > usualRate)
 	switch {
 	case !off:
@@ -85,7 +99,7 @@
 	case now.Sub(lod.offSince) >= slowFor:
 		lod.slow, lod.offSince, changed = !lod.slow, time.Time{}, true
 	}
-	return changed
+	return lod.slow, rate, changed
 }
 
 // slowSpeed returns whether the engine is slow, and its rate in steps of 10%: nodes know nearly the same rates.
