Don't take equal engines for slow ones in a surge

With 48 equal engines in the model, up to six were found to be slow in a surge: news of the work ahead of a call is old, so engines with queues seem faster than idle ones, and some had been observed five times only.

The test fails with the code before, for three of its four seeds; with it no engine is found slow.

--- a/internal/router/place/slow.go
+++ b/internal/router/place/slow.go
@@ -22,6 +22,9 @@
 	// engines with a rate from which a median does.
 	minSlowCount = 5
 	minRated     = 4
+	// rateError is the error of a rate by one observation, relative to it. The error of a mean falls with the square root of
+	// their number; so an engine at half of the speed is found after a few answers, one near the limit after a hundred.
+	rateError = 0.5
 )
 
 // SpeedChange is the finding that an engine is slow, or no longer.
@@ -90,7 +93,8 @@
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
 	rate = lod.rate.fleet.value
-	off := lod.rated() && (!lod.slow && rate < slowRate || lod.slow && rate > usualRate)
+	highest := rate * (1 + rateError/math.Sqrt(float64(lod.rate.fleet.count)))
+	off := lod.rated() && (!lod.slow && highest < slowRate || lod.slow && rate > usualRate)
 	switch {
 	case !off:
 		lod.offSince = time.Time{}
--- a/internal/router/place/slow_test.go
+++ b/internal/router/place/slow_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -126,3 +127,17 @@
 		}
 	}
 }
+
+// TestEqualEnginesAreNotFoundSlowInSurge has a surge at engines of one speed. It guards against engines that lose their cached
+// prefixes because old news of their queues, or few observations, make them seem slow.
+func TestEqualEnginesAreNotFoundSlowInSurge(t *testing.T) {
+	for seed := range uint64(4) {
+		mod := newModel(12, 48, 0, 514268, routeTargets)
+		mod.random = rand.New(rand.NewPCG(seed, 9))
+		mod.nodes[0].options.OnSpeed = func(chg SpeedChange) {
+			t.Errorf("seed %d: %s has the rate %.1f, the median is %.1f", seed, chg.Instance.ID, chg.Rate, chg.Median)
+		}
+		mod.run(6*time.Second, 8, mod.kinds()...)
+		mod.run(6*time.Second, 22, mod.kinds()...)
+	}
+}
