--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -16,6 +16,8 @@
 	FailureDomain string
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
+	// OnSpeed is called when an engine is found to be slow, or no longer; nil for none. It must not call the Balancer.
+	OnSpeed func(chg SpeedChange)
 }
 
 // Balancer tracks the load of upstreams as reported by this node and its peers, and chooses upstreams for calls.
@@ -30,6 +32,8 @@
 	byID  map[uint64]*load
 	// peers holds the latest report of each peer, which is subtracted when the next one arrives.
 	peers map[string]map[uint64]InFlight
+	// peerRates holds the prefill rates that each peer reported last.
+	peerRates map[string]map[uint64]float64
 	// services holds the classes of calls and the partition of the engines of each service with prompts.
 	services map[string]*service
 }
@@ -43,6 +47,8 @@
 		byID:     make(map[uint64]*load),
 		peers:    make(map[string]map[uint64]InFlight),
 		services: make(map[string]*service),
+
+		peerRates: make(map[string]map[uint64]float64),
 	}
 }
 
@@ -98,14 +104,16 @@
 	}
 }
 
-// LocalLoads returns what this node has in flight, by the hash of the incarnation's key.
+// LocalLoads returns what this node has in flight, by the hash of the incarnation's key. Incarnations whose prefill rate
+// it observed lately are included, with nothing in flight.
 func (bal *Balancer) LocalLoads() (infs map[uint64]InFlight) {
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
 	infs = make(map[uint64]InFlight)
+	now := bal.options.Timers.Now()
 	for id, lod := range bal.byID {
 		lod.mut.Lock()
-		if lod.local != (InFlight{}) {
+		if lod.local != (InFlight{}) || lod.rate.recent(now) > 0 {
 			infs[id] = lod.local
 		}
 		lod.mut.Unlock()
@@ -182,6 +190,7 @@
 	for _, plc := range pls {
 		bal.prefixes.record(plc, now)
 	}
+	bal.placePeerParts(pls, now)
 }
 
 // Request holds the properties of a call that its placement depends on.
@@ -201,10 +210,11 @@
 	// Engine describes the engines of the service; nil if the service has no description of them.
 	Engine *router.EngineSpec
 
-	// class and prefillGap are set by Choose: the class of the call, and the usual gap between events during prefill at the
-	// engines of the service.
+	// class, prefillGap and memory are set by Choose: the class of the call, the usual gap between events during prefill at
+	// the engines of the service, and the view of their cache memory, nil if it is not scarce.
 	class      class
 	prefillGap time.Duration
+	memory     *memoryView
 }
 
 // Prefix is a prefix of a prompt.
--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
@@ -31,19 +32,26 @@
 		ins = bal.choosePlain(cans)
 		return ins, bal.loadOf(ins).reserve(0, req.Ranks.InTime, req, now), true
 	}
-	svc, par, cls, gap := bal.serviceState(req, list)
-	req.class, req.prefillGap = cls, gap
+	svc, par := bal.serviceState(&req, list)
 	opt, ok := bal.chooseEngine(req, par, avoid)
 	if !ok {
 		return router.Instance{}, nil, false
 	}
 	lod := opt.load
 	rsv = lod.reserve(opt.prefillTokens, opt.rank, req, now)
-	rsv.Source, rsv.Late = opt.source, opt.late
+	rsv.Late, rsv.remote = opt.late, opt.remote
+	rsv.SavedTokens, rsv.Wait, rsv.Passed = max(0, req.PromptTokens-opt.prefillTokens), opt.room.wait(), opt.passedOver
+	if opt.source != nil {
+		rsv.Source = opt.source.Address
+	}
 	rsv.onStart = func() {
-		svc.begin(cls, req, opt.prefillTokens, now())
+		svc.begin(req.class, req, opt.prefillTokens, now())
 		bal.prefixes.recordLocal(req.Prefixes, lod.id, false, now())
-		rsv.service, rsv.class = svc, cls
+		lod.placeParts(req.Prefixes, now())
+		rsv.service, rsv.class = svc, req.class
+		if opt.source != nil {
+			startCopy(opt.source.load, lod, opt.link, now())
+		}
 	}
 	rsv.onCached = func() { bal.prefixes.recordLocal(req.Prefixes, lod.id, true, now()) }
 	return opt.Instance, rsv, true
@@ -53,14 +61,22 @@
 type option struct {
 	*engine
 
-	// prefillTokens is how many tokens of the prompt the engine has to prefill.
+	// cached is how many tokens of the prompt the engine has cached; prefillTokens how many it has to prefill, which is less
+	// than the rest if it copies some.
+	cached        int
 	prefillTokens int
-	// source is the address of the engine to copy the KV cache of shared prefixes from; empty for none.
-	source string
+	// source is the engine to copy the KV cache of shared prefixes from; nil for none.
+	source *engine
+	// link is how long the copy takes, with those that are before it on the links.
+	link time.Duration
 	// rank is the call's rank in the engine's prefill queue.
 	rank int
 	// late is set if the call will miss its target by the estimate.
 	late bool
+	// passedOver is set in the chosen option if an engine with more of the prefix was not chosen.
+	passedOver Passed
+	// room is the state of the engine's cache memory.
+	room room
 	// cost is in expected SLO misses.
 	cost float64
 }
@@ -110,6 +126,8 @@
 	// source is an engine from which the KV cache of the first copyTokens tokens can be copied; nil if there is none.
 	source     *engine
 	copyTokens int
+	// linkWait is how long the source's link is still occupied.
+	linkWait time.Duration
 }
 
 // chooseEngine returns the option of the lowest cost: among the candidates for the call, else among all engines, else
@@ -123,21 +141,33 @@
 	if !ok {
 		best, ok = bal.cheapest(req, pst, par.all(), avoid, true)
 	}
+	if best.passedOver == "" && par.heldBySlow(req, pst.holders, best.cached) {
+		best.passedOver = PassedSlow
+	}
 	return best, ok
 }
 
 // cheapest returns the option of the lowest cost among candidates; it skips ejected ones unless ejected is set.
 func (bal *Balancer) cheapest(req Request, pst prefixState, cans []candidate, avoid func(ins router.Instance) bool, ejected bool) (best option, ok bool) {
 	now := bal.options.Timers.Now()
+	var holder option
+	var state snapshot
 	for _, can := range cans {
 		snp := can.load.snapshot(now)
 		if snp.ejected && !ejected || avoid(can.Instance) {
 			continue
 		}
-		if opt := bal.evaluate(req, pst, can, snp); !ok || opt.cost < best.cost {
+		opt := bal.evaluate(req, pst, can, snp, now)
+		if opt.cached > 0 && (holder.engine == nil || opt.better(holder)) {
+			holder, state = opt, snp
+		}
+		if !ok || opt.cost < best.cost {
 			best, ok = opt, true
 		}
 	}
+	if holder.cached > best.cached {
+		best.passedOver = holder.passed(state)
+	}
 	return best, ok
 }
 
@@ -145,6 +175,9 @@
 func (bal *Balancer) prefixState(req Request, par *partition) (pst prefixState) {
 	now := bal.options.Timers.Now()
 	pst.holders = bal.prefixes.holders(req.Prefixes, now)
+	if req.memory != nil {
+		req.memory.dropEvicted(pst.holders, par, now)
+	}
 	for num, pfx := range req.Prefixes {
 		pst.longest = pfx.Hash
 		for id, ent := range pst.holders[num] {
@@ -157,6 +190,9 @@
 			}
 		}
 	}
+	if pst.source != nil {
+		pst.linkWait = pst.source.load.linkWait(now)
+	}
 	return pst
 }
 
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -70,6 +70,8 @@
 	Running int
 	// GapRisk is the expected number of running calls that miss their gap target while the engine prefills another prompt.
 	GapRisk float64
+	// CacheTokens is how many tokens of KV cache the calls occupy besides the prefixes that they share with others.
+	CacheTokens int
 }
 
 func (inf *InFlight) add(oth InFlight, sign int) {
@@ -78,6 +80,7 @@
 	}
 	inf.Running += sign * oth.Running
 	inf.GapRisk += float64(sign) * oth.GapRisk
+	inf.CacheTokens += sign * oth.CacheTokens
 }
 
 // load is the load and health of one incarnation.
@@ -88,8 +91,14 @@
 	mut sync.Mutex
 	// local is the work from this node, peers the work from all others.
 	local, peers InFlight
-	// prefillRate is the moving average of prompt tokens prefilled per millisecond; zero before the first observation.
-	prefillRate float64
+	// prefillRate is the moving average of prompt tokens prefilled per millisecond, as this node observed it last at
+	// rateObservedAt; zero before the first observation.
+	prefillRate    float64
+	rateObservedAt time.Time
+	rate           engineRate
+	// slow is set if the engine is slower than others of its service; offSince is when its rate began to say otherwise.
+	slow     bool
+	offSince time.Time
 	// failureRate is the moving average of the share of failed calls.
 	failureRate float64
 	// failureStreak counts ejections since the last success.
@@ -102,6 +111,9 @@
 	prefillShare   float64
 	prefillShareAt time.Time
 	gaps           gapTracker
+	// linkUntil is when the last copy on the engine's link ends, of those that this node started.
+	linkUntil time.Time
+	use       cacheUse
 }
 
 // snapshot is a consistent copy of a load.
@@ -112,6 +124,8 @@
 	failureRate  float64
 	ejected      bool
 	prefillShare float64
+	// linkWait is how long the engine's link is still occupied by copies.
+	linkWait time.Duration
 	// slowdown is how many times longer than usual the engine's gaps between events are; at least 1.
 	slowdown float64
 }
@@ -121,14 +135,12 @@
 	defer lod.mut.Unlock()
 	snp = snapshot{
 		InFlight:    lod.local,
-		prefillRate: lod.prefillRate,
+		prefillRate: lod.rateAt(now),
 		failureRate: lod.failureRate,
 		ejected:     now.Before(lod.ejectedUntil) || lod.probing,
 	}
+	snp.linkWait = lod.linkUntil.Sub(now)
 	snp.add(lod.peers, 1)
-	if snp.prefillRate == 0 {
-		snp.prefillRate = defaultRate
-	}
 	lod.updatePrefillShare(now, snp.Pending.total() > 0)
 	snp.prefillShare = lod.prefillShare
 	snp.slowdown = max(1, lod.gaps.slowdownAt(now))
@@ -152,7 +164,7 @@
 func (lod *load) reserve(prefillTokens, rank int, req Request, now func() time.Time) *Reservation {
 	lod.mut.Lock()
 	defer lod.mut.Unlock()
-	rsv := &Reservation{load: lod, now: now, pending: prefillTokens, sentAt: now(), gapRisk: req.gapRisk(req.prefillGap)}
+	rsv := &Reservation{load: lod, now: now, pending: prefillTokens, sentAt: now(), gapRisk: req.gapRisk(req.prefillGap), cacheTokens: req.ownTokens()}
 	if lod.failureStreak > 0 && !lod.ejectedUntil.IsZero() {
 		lod.probing = true
 		rsv.probe = true
@@ -164,6 +176,8 @@
 	lod.local.Pending[rsv.Rank] += prefillTokens
 	lod.local.Running++
 	lod.local.GapRisk += rsv.gapRisk
+	lod.use.advance(all.CacheTokens, rsv.sentAt)
+	lod.local.CacheTokens += rsv.cacheTokens
 	return rsv
 }
 
@@ -173,6 +187,8 @@
 	defer lod.mut.Unlock()
 	lod.local.Pending[rsv.Rank] -= rsv.pending
 	lod.local.Running--
+	lod.use.advance(lod.local.CacheTokens+lod.peers.CacheTokens, rsv.now())
+	lod.local.CacheTokens -= rsv.cacheTokens
 	lod.local.GapRisk = max(0, lod.local.GapRisk-rsv.gapRisk)
 	if rsv.probe {
 		lod.probing = false
--- a/internal/router/place/partition.go
+++ b/internal/router/place/partition.go
@@ -32,6 +32,9 @@
 	// hash is the hash of the instance's ID.
 	hash  uint64
 	class class
+	// slow is set for slow engines, and speedStep is the rate of these; see moveSlow.
+	slow      bool
+	speedStep int
 	// remote is set for engines in another region than this node.
 	remote bool
 }
@@ -42,7 +45,9 @@
 	// list is the instances from which the partition was built.
 	list    []router.Instance
 	classes [][]*engine
-	byID    map[uint64]*engine
+	// usual is the engines of the last class that are not slow; calls of other classes may use these only.
+	usual []*engine
+	byID  map[uint64]*engine
 }
 
 // newPartition assigns each instance to a class. The engines of a class are those between its boundary and the one before,
@@ -56,20 +61,39 @@
 		ord = append(ord, eng)
 	}
 	interleaveDomains(ord)
+	ends := classEnds(len(ord), bounds)
+	if last := len(bounds) - 1; last > 0 && svc.separatesSlow() {
+		moveSlow(ord, ends[last-1])
+	}
 	start := 0
-	for cls, bnd := range bounds {
-		later := len(bounds) - 1 - cls
-		end := min(int(math.Round(bnd*float64(len(ord)))), len(ord)-later)
-		end = min(max(end, start+1), len(ord))
+	for cls, end := range ends {
 		par.classes[cls] = ord[start:end]
 		for _, eng := range ord[start:end] {
 			eng.class = class(cls)
 		}
 		start = end
 	}
+	for _, eng := range par.classes[len(bounds)-1] {
+		if !eng.slow {
+			par.usual = append(par.usual, eng)
+		}
+	}
 	return par
 }
 
+// classEnds returns the position behind the last engine of each class. A class has at least one engine as long as there are
+// enough.
+func classEnds(engines int, bounds []float64) (ends []int) {
+	start := 0
+	for cls, bnd := range bounds {
+		later := len(bounds) - 1 - cls
+		end := min(int(math.Round(bnd*float64(engines))), engines-later)
+		start = min(max(end, start+1), engines)
+		ends = append(ends, start)
+	}
+	return ends
+}
+
 // interleaveDomains sorts engines by hash, but with those of each failure domain spread evenly over the order.
 func interleaveDomains(engs []*engine) {
 	slices.SortFunc(engs, func(one, two *engine) int { return cmp.Compare(one.hash, two.hash) })
@@ -97,19 +121,24 @@
 // its own class before others, then all others that hold a prefix of its prompt.
 func (par *partition) candidates(own class, prefix uint64, holders []map[uint64]cacheEntry) (res []candidate) {
 	seen := make(map[uint64]bool, maxOwnClass+2*maxOtherClass)
+	res = make([]candidate, 0, 2*maxOwnClass+2*maxOtherClass)
 	for num := range par.classes {
 		cls, limit := class((int(own)+num)%len(par.classes)), maxOtherClass
 		if cls == own {
 			limit = maxOwnClass
 		}
-		for _, eng := range topRanked(prefix, par.classes[cls], limit, own == 0 && par.nearEngines(cls) >= minNearEngines) {
+		engs := par.classes[cls]
+		if int(cls) == len(par.classes)-1 && own != cls {
+			engs = par.usual
+		}
+		for _, eng := range topRanked(prefix, engs, limit, own == 0 && par.nearEngines(cls) >= minNearEngines) {
 			seen[eng.load.id] = true
 			res = append(res, candidate{engine: eng, position: len(res)})
 		}
 	}
 	for _, ents := range holders {
 		for id := range ents {
-			if eng := par.byID[id]; eng != nil && !seen[id] {
+			if eng := par.byID[id]; eng != nil && !seen[id] && !par.tooSlow(eng, own) {
 				seen[id] = true
 				res = append(res, candidate{engine: eng, position: len(res)})
 			}
@@ -118,6 +147,12 @@
 	return res
 }
 
+// tooSlow reports whether an engine was moved to the last class because it is slow, and a call is of another class.
+func (par *partition) tooSlow(eng *engine, own class) bool {
+	last := class(len(par.classes) - 1)
+	return eng.slow && eng.class == last && own != last
+}
+
 // nearEngines returns how many engines of a class are in this node's region.
 func (par *partition) nearEngines(cls class) (num int) {
 	for _, eng := range par.classes[cls] {
@@ -144,12 +179,13 @@
 // topRanked returns the first engines of the ranking for a prefix by rendezvous hashing; nearFirst ranks those in this
 // node's region before all others.
 func topRanked(prefix uint64, engs []*engine, limit int, nearFirst bool) (res []*engine) {
+	// Scores hold no pointers: moving these is slow while the garbage collector runs.
 	type score struct {
-		eng *engine
+		num int32
 		val uint64
 	}
 	best := make([]score, 0, limit+1)
-	for _, eng := range engs {
+	for num, eng := range engs {
 		val := mix(prefix^eng.hash) >> 1
 		if nearFirst && eng.remote {
 			val |= remoteBit
@@ -158,11 +194,12 @@
 			continue
 		}
 		pos, _ := slices.BinarySearchFunc(best, val, func(scr score, val uint64) int { return cmp.Compare(scr.val, val) })
-		best = slices.Insert(best, pos, score{eng: eng, val: val})
+		best = slices.Insert(best, pos, score{num: int32(num), val: val})
 		best = best[:min(len(best), limit)]
 	}
+	res = make([]*engine, 0, len(best))
 	for _, scr := range best {
-		res = append(res, scr.eng)
+		res = append(res, engs[scr.num])
 	}
 	return res
 }
--- a/internal/router/place/reservation.go
+++ b/internal/router/place/reservation.go
@@ -21,6 +21,12 @@
 	Running int
 	// Late is set if the call was expected to miss its target.
 	Late bool
+	// SavedTokens is how many tokens of the prompt were not prefilled because they were cached or copied.
+	SavedTokens int
+	// Wait is the estimated time until the engine had memory and a slot for the call.
+	Wait time.Duration
+	// Passed is why an engine that holds more of the prompt's prefix was passed over.
+	Passed Passed
 }
 
 // Crowded reports whether a call has to wait at an instance: all its slots are taken, or the call will miss its target.
@@ -49,6 +55,10 @@
 	sentAt         time.Time
 	// gapRisk is the call's part of the GapRisk in the load.
 	gapRisk float64
+	// cacheTokens is the call's part of the CacheTokens in the load.
+	cacheTokens int
+	// remote is set if the engine is in another region.
+	remote bool
 	// probe is set if the call probes an ejected upstream.
 	probe bool
 	// lastEvent is when the last event arrived, and lastPending the number of tokens pending at the engine then.
@@ -75,18 +85,7 @@
 	}
 	lod.local.Pending[rsv.Rank] -= rsv.pending
 	rsv.pending = 0
-	took := float64(rsv.now().Sub(rsv.sentAt).Microseconds()) / 1000
-	if rsv.firstEventWork < minRateTokens || took <= 0 {
-		return
-	}
-	rate := min(max(float64(rsv.firstEventWork)/took, minRate), maxRate)
-	if lod.prefillRate == 0 {
-		lod.prefillRate = defaultRate
-	}
-	lod.prefillRate += rateWeight * (rate - lod.prefillRate)
-	if rsv.service != nil {
-		rsv.service.speed.observeRate(rate)
-	}
+	lod.observeRate(rsv, rsv.now())
 }
 
 // ObserveEvent reports an event of the response; its gap to the event before updates the slowdown of the engine.
@@ -115,7 +114,9 @@
 	rsv.once.Do(func() {
 		rsv.load.release(rsv, res)
 		if rsv.service != nil {
-			rsv.service.end(rsv.class, rsv.now())
+			now := rsv.now()
+			rsv.service.end(rsv.class, now)
+			rsv.service.observeResidence(rsv.class, now.Sub(rsv.sentAt))
 		}
 	})
 }
--- a/internal/router/place/service.go
+++ b/internal/router/place/service.go
@@ -38,8 +38,11 @@
 	// divided is when the division was last adjusted; zero before the first call.
 	divided   time.Time
 	partition *partition
-	slots     int
-	speed     speed
+	// slowUpdated is when the rates of the engines were last compared.
+	slowUpdated time.Time
+	slots       int
+	memory      memoryState
+	speed       speed
 }
 
 // speed holds the usual speed of the engines of a service. Its lock may be taken while any other lock is held.
@@ -48,6 +51,10 @@
 	// prefillRate and prefillGap are moving averages over all engines; see load and gapTracker.
 	prefillRate float64
 	prefillGap  time.Duration
+	// byWork holds the mean prefill rates by the amount of work with which they were observed.
+	byWork [workBuckets]average
+	// median is the median of the fleet's rates of the engines; zero if unknown.
+	median float64
 }
 
 // get returns the prefill rate in tokens per millisecond and the gap between events during prefill.
@@ -195,6 +202,7 @@
 	svc.mut.Lock()
 	defer svc.mut.Unlock()
 	svc.meters[cls].begin(prefillTokens, now)
+	svc.memory.prompt.add(float64(req.PromptTokens), serviceWeight)
 	if req.Engine != nil && req.Engine.Slots > 0 {
 		svc.slots = req.Engine.Slots
 	}
@@ -212,18 +220,32 @@
 // serviceWeight is the weight of the newest observation of an engine in the averages of its service.
 const serviceWeight = 0.02
 
-// serviceState returns the service and the class of a call, the partition of a list of engines, and the usual gap during prefill.
-func (bal *Balancer) serviceState(req Request, list []router.Instance) (svc *service, par *partition, cls class, prefillGap time.Duration) {
+// serviceState returns the service of a call and the partition of a list of engines, and sets what the service knows in the
+// request.
+func (bal *Balancer) serviceState(req *Request, list []router.Instance) (svc *service, par *partition) {
 	svc = bal.serviceOf(req.Service)
 	svc.mut.Lock()
 	defer svc.mut.Unlock()
-	changed := svc.adjust(len(list), bal.options.Timers.Now())
+	now := bal.options.Timers.Now()
+	changed := svc.adjust(len(list), now)
+	if svc.partition != nil {
+		for _, chg := range svc.updateSlow(svc.partition, now) {
+			changed = true
+			if bal.options.OnSpeed != nil {
+				bal.options.OnSpeed(chg)
+			}
+		}
+	}
 	if par = svc.partition; changed || par == nil || len(par.list) != len(list) || &par.list[0] != &list[0] {
 		par = bal.newPartition(list, svc.bounds, svc)
 		svc.partition = par
 	}
-	_, prefillGap = svc.speed.get()
-	return svc, par, svc.classOf(req), prefillGap
+	_, req.prefillGap = svc.speed.get()
+	req.class = svc.classOf(*req)
+	if svc.memory.scarce(req.Engine) {
+		req.memory = &memoryView{spec: req.Engine, state: svc.memory}
+	}
+	return svc, par
 }
 
 // serviceOf returns the state of a service and creates it if necessary.
