Pass on only own findings of replaced upstreams

A node that had seen another incarnation at an address kept announcing it as its own finding after a peer's newer report had replaced the time. The age in a digest leaves out the transit time, so that two such nodes made the time newer with each exchange and prolonged the ejection. The case "newer from a peer" of TestRecentNamesGoneUpstreams fails before the change.

--- a/internal/router/terms/gone_test.go
+++ b/internal/router/terms/gone_test.go
@@ -52,6 +52,10 @@
 	}{
 		"replaced": {play: func(reg *Registry) { reg.ObserveGone(ins) }, want: []Stated{{Instance: ins.Hash(), Gone: true, Age: time.Second}}},
 		"refuses":  {play: func(reg *Registry) { reg.ObserveRefusal(ins) }, want: []Stated{{Instance: ins.Hash(), Refuses: true, Age: time.Second}}},
+		"newer from a peer": {play: func(reg *Registry) {
+			reg.ObserveGone(ins)
+			reg.AddPeer([]Stated{{Instance: ins.Hash(), Gone: true, Age: -time.Millisecond}})
+		}},
 		"from peers": {play: func(reg *Registry) {
 			reg.AddPeer([]Stated{{Instance: ins.Hash(), Gone: true}, {Instance: ins.Hash(), Refuses: true}})
 		}},
--- a/internal/router/terms/terms.go
+++ b/internal/router/terms/terms.go
@@ -295,7 +295,9 @@
 		}
 		if sta.Gone {
 			if at.After(ent.goneAt) {
-				ent.goneAt = at
+				// Only the node that got the answer passes it on. The age in a digest leaves out its transit time, so that nodes that
+				// repeat each other's statements would make them newer each time.
+				ent.goneAt, ent.ownGone = at, false
 			}
 			continue
 		}
