Decide which calls start, wait or are refused while a service is short

Every call was sent at once, so that urgent calls shared the slots with those that could not end in time.

Package admit holds the calls above the slots of a service at the node, in the order of tier, use of the workspace, early return and age, starts them at the drain rate, and refuses those that are unlikely to end before their deadline or whose caller would have left. Each tier, workspace and size of prompt keeps a minimum share.

--- /dev/null
+++ b/internal/router/admit/chance.go
@@ -0,0 +1,88 @@
+package admit
+
+import (
+	"time"
+)
+
+const (
+	// minPatience, patienceTargets and patienceGaps give the time after which callers leave a stream without a first event: the
+	// longest of minPatience, that many targets and that many gap targets.
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+	// waitMargin is the part of the expected wait by which a call is refused, and lateWaitMargin that after earlyShare of its target. A
+	// refusal costs the caller more then, and an answer that is late still has some worth.
+	waitMargin     = 0.75
+	lateWaitMargin = 0.5
+	earlyShare     = 1.0 / 8
+	// probeInterval is the time after which a call is sent although none seems to have a chance.
+	probeInterval = time.Second
+)
+
+// The reasons of refusals.
+const (
+	reasonDeadline = "it can't end before its deadline"
+	reasonPatience = "its first event would come after its caller left"
+)
+
+// patience returns how long after its arrival the caller of a stream waits for the first event; zero means until the deadline.
+func (wai *waiter) patience() time.Duration {
+	if !wai.Route.Stream {
+		return 0
+	}
+	return max(minPatience, patienceTargets*wai.Route.Target, patienceGaps*wai.Route.GapTarget)
+}
+
+// hopeless returns why a call has no chance, or an empty string if it has one. wait is its expected time to the first event.
+func (wai *waiter) hopeless(wait, gap time.Duration, now time.Time) (reason string) {
+	margin := waitMargin
+	if now.Sub(wai.entered) > time.Duration(earlyShare*float64(wai.target())) {
+		margin = lateWaitMargin
+	}
+	first := now.Add(time.Duration(margin * float64(wait)))
+	out := wai.service.outputs.duration(wai.Call.OutputTokens, gap)
+	if first.Add(out).After(wai.Deadline) {
+		return reasonDeadline
+	}
+	if pat := wai.patience(); pat > 0 && first.Sub(wai.Call.Arrived) > pat {
+		return reasonPatience
+	}
+	return ""
+}
+
+// turn is when a call was sent: the number of calls sent before it, and the time.
+type turn struct {
+	sends int
+	at    time.Time
+}
+
+// isOver reports whether minShare calls were sent since the turn, or probeInterval has passed.
+func (ser *service) isOver(trn turn, now time.Time) bool {
+	return ser.sends-trn.sends >= minShare-1 || now.Sub(trn.at) >= probeInterval
+}
+
+// spared reports whether a call without a chance is sent nevertheless, because none of its tier, workspace or size was among the last
+// minShare. The estimates are corrected by it. One of minShare calls is sent that way.
+func (ser *service) spared(wai *waiter, now time.Time) bool {
+	if wai.spared || !ser.isOver(ser.lastSpared, now) {
+		return wai.spared
+	}
+	for _, grp := range wai.groups() {
+		wai.spared = wai.spared || ser.isOver(ser.turns[grp], now)
+	}
+	if wai.spared {
+		ser.lastSpared = turn{sends: ser.sends, at: now}
+	}
+	return wai.spared
+}
+
+// recordSend counts a call that is sent.
+func (ser *service) recordSend(wai *waiter, now time.Time) {
+	if ser.turns == nil {
+		ser.turns = make(map[group]turn)
+	}
+	ser.sends++
+	for _, grp := range wai.groups() {
+		ser.turns[grp] = turn{sends: ser.sends, at: now}
+	}
+}
