Estimate the first event and the time between events of a call

The admission of calls needs the load of a service and the expected progress of a call at the engine that was chosen for it. The choice itself is unchanged.

--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -160,6 +160,7 @@
 	all := lod.local
 	all.add(lod.peers, 1)
 	rsv.Estimate = Estimate{AheadTokens: all.Pending.ahead(rank), PrefillTokens: prefillTokens, Rank: rank, Slowdown: max(1, lod.gaps.slowdownAt(rsv.sentAt)), Running: all.Running}
+	rsv.FirstEvent, rsv.EventGap = lod.progress(rsv.AheadTokens + prefillTokens)
 	rsv.firstEventWork = rsv.PrefillTokens + rsv.AheadTokens
 	lod.local.Pending[rsv.Rank] += prefillTokens
 	lod.local.Running++
--- a/internal/router/place/reservation.go
+++ b/internal/router/place/reservation.go
@@ -19,6 +19,8 @@
 	Slowdown float64
 	// Running is how many calls were in flight at the upstream.
 	Running int
+	// FirstEvent is the expected time to the first event, and EventGap the expected time between events after that; zero if unknown.
+	FirstEvent, EventGap time.Duration
 	// Late is set if the call was expected to miss its target.
 	Late bool
 }
