Ask the admission before a call is sent for the first time

A call passes the admission once, before its first attempt, and once more when an upstream is chosen: if it can't end in time there, up to two others are tried, and it is refused if it fits none of them. Both come before the first byte is sent, so that the statement that it has not run is true.

--- a/internal/router/send/attempt.go
+++ b/internal/router/send/attempt.go
@@ -15,11 +15,12 @@
 // attempt chooses an upstream, sends the call to it once and relays its response.
 func (act *activeCall) attempt(ctx context.Context) (sta attemptState) {
 	opt := act.sender.options
-	ins, rsv, ok := act.choose(ctx)
+	ins, rsv, ok := act.chooseFitting(ctx)
 	if !ok {
 		return notSent
 	}
 	rsv.Start()
+	act.recordStart(rsv)
 	res := place.Inconclusive
 	defer func() { rsv.Release(res) }()
 	con, err := act.connect(ctx, ins)
--- a/internal/router/send/send.go
+++ b/internal/router/send/send.go
@@ -90,6 +90,8 @@
 	OnCrash func(crs guard.Crash)
 	// OnAnswer is called when an upstream began to answer a request with these shared parts at a time and went on.
 	OnAnswer func(parts []uint64, begun time.Time)
+	// Admission decides which calls start, wait or are refused while a service is short of capacity; nil admits all.
+	Admission router.Admission
 	// RetryShare is the number of retry tokens that each call adds to the budget of its service, from 0 to 1.
 	RetryShare float64
 }
@@ -123,6 +125,7 @@
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, act.deadline())
 	defer cancel()
+	defer act.leave()
 	return act.run(ctx)
 }
 
@@ -179,6 +182,12 @@
 	status      int
 	// retryAfter is when the caller of a call that was not run should come back; zero selects a default.
 	retryAfter time.Duration
+	// ticket is the admission of the call; nil before and without one.
+	ticket router.AdmissionTicket
+	// refusal is why the call is refused before it is sent; nil if it is not.
+	refusal *router.Refusal
+	// complete is set once the whole response was relayed.
+	complete bool
 }
 
 // deadline returns the earlier of the caller's deadline and the timeout of the route, or a default if neither is set.
@@ -208,11 +217,20 @@
 		if act.stopsBeforeDeadline() && !act.responseStarted {
 			return act.finishStopped()
 		}
-		sta := act.attempt(ctx)
+		if !act.admit(ctx) && act.refusal == nil {
+			return act.finishUnadmitted(ctx)
+		}
+		sta := notSent
+		if act.refusal == nil {
+			sta = act.attempt(ctx)
+		}
 		switch {
+		case act.refusal != nil:
+			return act.refuse(act.refusal)
 		case sta == completed:
 			act.sender.options.Guard.Clear(act.digest)
 			act.prove()
+			act.complete = true
 			return act.report(router.Ran)
 		case errors.Is(context.Cause(ctx), errStopping):
 			return act.finishStopped()
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -96,6 +96,16 @@
 
 // newSenderAndRoster is newSender that also returns the roster with the records of the upstreams.
 func newSenderAndRoster(grd *guard.Guard, scrs ...*fakes.ScriptedServer) (snd *send.Sender, ros *roster.Roster) {
+	return newSenderWith(grd, nil, scrs...)
+}
+
+// newAdmittingSender is newSender with admission control.
+func newAdmittingSender(grd *guard.Guard, adm router.Admission, scrs ...*fakes.ScriptedServer) (snd *send.Sender) {
+	snd, _ = newSenderWith(grd, adm, scrs...)
+	return snd
+}
+
+func newSenderWith(grd *guard.Guard, adm router.Admission, scrs ...*fakes.ScriptedServer) (snd *send.Sender, ros *roster.Roster) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ros = roster.New(roster.Options{Timers: timer.Real{}, Codec: fakes.Codec{}, Log: log, OnRemove: func(router.Instance) {}})
 	var upd follow.Update
@@ -107,18 +117,19 @@
 	}
 	ros.Apply(upd)
 	return send.New(send.Options{
-		Timers:   timer.Real{},
-		Dialect:  fakes.Dialect{},
-		Roster:   ros,
-		Balancer: place.New(place.Options{Timers: timer.Real{}}),
-		Pools:    conns.NewPools(),
-		Budget:   budget.NewRegistry(budget.DefaultMaxTokens),
-		Log:      log,
-		Guard:    grd,
-		Terms:    terms.New(timer.Real{}, log),
-		Permits:  newPermits(log),
-		OnCrash:  func(crs guard.Crash) { grd.Add(crs) },
-		OnAnswer: func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
+		Timers:    timer.Real{},
+		Dialect:   fakes.Dialect{},
+		Roster:    ros,
+		Balancer:  place.New(place.Options{Timers: timer.Real{}}),
+		Pools:     conns.NewPools(),
+		Budget:    budget.NewRegistry(budget.DefaultMaxTokens),
+		Log:       log,
+		Guard:     grd,
+		Terms:     terms.New(timer.Real{}, log),
+		Permits:   newPermits(log),
+		OnCrash:   func(crs guard.Crash) { grd.Add(crs) },
+		OnAnswer:  func(parts []uint64, begun time.Time) { grd.Answered(parts, begun) },
+		Admission: adm,
 	}), ros
 }
 
