Run the admission at the nodes and exchange the waiting calls

Nodes hold back the calls of services with engines by the load that the balancer knows, and tell each other in digests how many calls wait by tier. Services without engines, or whose engines state no slots, are served as before. TestWaitingCallsInDigests shows that a call waits for those of its tier at a peer, not for less urgent ones, and not after the peer has ended.

--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/admit"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/conns"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
@@ -132,8 +133,9 @@
 		Regions: regions,
 	})
 	pms.Join(nod.mesh)
-	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
 	met := meter.New(set.Name, opt.Log)
+	pes.admission = admit.New(admit.Options{Timers: opt.Timers, Log: opt.Log, View: nod.serviceView(trs), OnEvent: met.Event})
+	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
 	nod.meter = met
 	nod.handler = &Handler{
 		meter:      met,
@@ -157,6 +159,7 @@
 			OnCrash:    pes.recordCrash,
 			OnAnswer:   pes.recordAnswered,
 			Log:        opt.Log,
+			Admission:  pes.admission,
 			RetryShare: retryBudgetFactor * set.Platform.RetryShare,
 		}),
 	}
--- a/internal/router/edge/peers.go
+++ b/internal/router/edge/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/admit"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/terms"
@@ -19,6 +20,8 @@
 	guard    *guard.Guard
 	terms    *terms.Registry
 	timers   router.Timers
+	// admission is nil if calls are not delayed or refused for load.
+	admission *admit.Controller
 
 	mut     sync.Mutex
 	crashes []guard.Crash
@@ -87,6 +90,7 @@
 		}
 		dig.Demands = append(dig.Demands, msg)
 	}
+	pes.addLocalWaiting(dig)
 	for _, sta := range pes.terms.Recent() {
 		dig.Terms = append(dig.Terms, &wire.StatedTerms{Instance: sta.Instance, RateLimit: sta.RateLimit, AgeMs: uint32(sta.Age.Milliseconds()), Leaving: sta.Leaving, Gone: sta.Gone, Refuses: sta.Refuses})
 	}
@@ -116,6 +120,7 @@
 	}
 	pes.balancer.SetPeerLoads(dig.GetNode(), infs)
 	pes.balancer.SetPeerDemand(dig.GetNode(), decodeDemands(dig.GetDemands()))
+	pes.setPeerWaiting(dig.GetNode(), dig.GetDemands())
 	pes.addTerms(dig.GetTerms())
 	pes.AddStrikes(dig.GetStrikes())
 	pls := make([]place.Placement, 0, len(dig.GetPlacements()))
@@ -179,6 +184,7 @@
 func (pes *peerState) RemovePeer(name string) {
 	pes.balancer.SetPeerLoads(name, nil)
 	pes.balancer.SetPeerDemand(name, nil)
+	pes.setPeerWaiting(name, nil)
 }
 
 // decodeDemands converts the demand in a digest; a message with lists of different lengths or with values that are no
