--- a/internal/router/admit/load_test.go
+++ b/internal/router/admit/load_test.go
@@ -128,44 +128,7 @@
 		}
 		return false
 	})
-	mod.waiting = slices.DeleteFunc(mod.waiting, func(cal *modelCall) bool {
-		res := mod.result(cal)
-		select {
-		case <-cal.decided:
-		default:
-			if cal.kind.leaves > 0 && now.Sub(cal.at) >= cal.kind.leaves && mod.abandon(cal.waiter) {
-				res.left++
-				return true
-			}
-			return false
-		}
-		if cal.refusal == nil {
-			if mod.open {
-				mod.running = append(mod.running, cal)
-				return true
-			}
-			// An output has ten events, whose gaps grow with the calls above the slots.
-			gap := max(took, took*time.Duration(len(mod.running))/time.Duration(mod.slots)) / 10
-			if !cal.Check(router.UpstreamEstimate{EventGap: gap}) {
-				cal.waiter.refusal = cal.Refuse()
-			}
-			if cal.refusal == nil {
-				cal.Start(1000)
-				mod.running = append(mod.running, cal)
-				return true
-			}
-			cal.End(0)
-		}
-		res.refused++
-		if now.Sub(cal.at) <= time.Second/8+step {
-			res.refusedEarly++
-		}
-		if cal.kind.back > 0 && cal.returns < 3 {
-			cal.at = now.Add(time.Duration(cal.kind.back * float64(cal.refusal.RetryAfter)))
-			mod.returning = append(mod.returning, cal)
-		}
-		return true
-	})
+	mod.waiting = slices.DeleteFunc(mod.waiting, mod.decide)
 	speed := min(1, float64(mod.slots)/float64(max(1, len(mod.running))))
 	mod.running = slices.DeleteFunc(mod.running, func(cal *modelCall) bool {
 		if cal.work -= time.Duration(speed * float64(step)); cal.work > 0 {
@@ -181,6 +144,47 @@
 	})
 }
 
+// decide starts or removes a call that is no longer to wait, and reports whether it was one.
+func (mod *model) decide(cal *modelCall) (done bool) {
+	now := mod.timers.Now()
+	res := mod.result(cal)
+	select {
+	case <-cal.decided:
+	default:
+		if cal.kind.leaves > 0 && now.Sub(cal.at) >= cal.kind.leaves && mod.abandon(cal.waiter) {
+			res.left++
+			return true
+		}
+		return false
+	}
+	if cal.refusal == nil {
+		if mod.open {
+			mod.running = append(mod.running, cal)
+			return true
+		}
+		// An output has ten events, whose gaps grow with the calls above the slots.
+		gap := max(took, took*time.Duration(len(mod.running))/time.Duration(mod.slots)) / 10
+		if !cal.Check(router.UpstreamEstimate{EventGap: gap}) {
+			cal.refusal = cal.Refuse()
+		}
+		if cal.refusal == nil {
+			cal.Start(1000)
+			mod.running = append(mod.running, cal)
+			return true
+		}
+		cal.End(0)
+	}
+	res.refused++
+	if now.Sub(cal.at) <= time.Second/8+step {
+		res.refusedEarly++
+	}
+	if cal.kind.back > 0 && cal.returns < 3 {
+		cal.at = now.Add(time.Duration(cal.kind.back * float64(cal.refusal.RetryAfter)))
+		mod.returning = append(mod.returning, cal)
+	}
+	return true
+}
+
 // constant and burst are rates of arrivals; the burst is from the fourth second to the tenth.
 func constant(rate float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return rate }
@@ -245,7 +249,7 @@
 			open.open = true
 			inTime := make(map[*model]int)
 			for _, one := range []*model{mod, open} {
-				var before, after []*arrivals
+				before, after := make([]*arrivals, 0, len(cas.kinds)), make([]*arrivals, 0, len(cas.kinds))
 				for _, kin := range cas.kinds {
 					fst, snd := *kin, *kin
 					snd.rate = func(at time.Duration) float64 { return kin.rate(at + 5*time.Second) }
