Pace the start of waiting calls by what a late view of the fleet allows

TestSurgeWithLateViews plays 20 nodes whose digests are 300 ms late. With starts at the estimated drain rate also without a free slot, 4.3 and 6.4 times the slots were taken at 1.6 and 2 times the capacity: each call above the slots slows the others, and the rate was estimated from the time before. All nodes also took the same free slots. Now a node takes its part of the free slots over the delay of a digest, and starts one call for two that end while none is free: 1.03 and 1.02 times the slots, and 0.94 at a load of 0.95, where no call is refused.

The wait counts in full at the arrival.

--- a/internal/router/admit/chance.go
+++ b/internal/router/admit/chance.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 )
 
 const (
@@ -11,10 +13,14 @@
 	patienceTargets = 4
 	patienceGaps    = 8
 	// waitMargin is the part of the expected wait by which a call is refused, and lateWaitMargin that after earlyShare of its target. A
-	// refusal costs the caller more then, and an answer that is late still has some worth.
-	waitMargin     = 0.75
+	// refusal costs the caller more then, and an answer that is late still has some worth. With a margin below 1 at first, half of the refusals
+	// came after the call had waited for most of its time.
+	waitMargin     = 1.0
 	lateWaitMargin = 0.5
 	earlyShare     = 1.0 / 8
+	// firstEventMargin is the part of the expected time to the first event at an upstream by which a call is refused. The load there is
+	// known with a delay, and prompts behind the call count in part.
+	firstEventMargin = 0.75
 	// probeInterval is the time after which a call is sent although none seems to have a chance.
 	probeInterval = time.Second
 )
@@ -33,13 +39,22 @@
 	return max(minPatience, patienceTargets*wai.Route.Target, patienceGaps*wai.Route.GapTarget)
 }
 
-// hopeless returns why a call has no chance, or an empty string if it has one. wait is its expected time to the first event.
-func (wai *waiter) hopeless(wait, gap time.Duration, now time.Time) (reason string) {
-	margin := waitMargin
-	if now.Sub(wai.entered) > time.Duration(earlyShare*float64(wai.target())) {
-		margin = lateWaitMargin
+// leastWait returns the part of the expected wait in the queue by which a call is refused.
+func (wai *waiter) leastWait(wait time.Duration, now time.Time) time.Duration {
+	if now.Sub(wai.entered) <= time.Duration(earlyShare*float64(wai.target())) {
+		return time.Duration(waitMargin * float64(wait))
 	}
-	first := now.Add(time.Duration(margin * float64(wait)))
+	return time.Duration(lateWaitMargin * float64(wait))
+}
+
+// hopelessAt returns why a call has no chance by an estimate, or an empty string if it has one.
+func (wai *waiter) hopelessAt(est router.UpstreamEstimate, now time.Time) (reason string) {
+	return wai.hopeless(time.Duration(firstEventMargin*float64(est.FirstEvent)), est.EventGap, now)
+}
+
+// hopeless returns why a call has no chance, or an empty string if it has one. wait is its time to the first event at least.
+func (wai *waiter) hopeless(wait, gap time.Duration, now time.Time) (reason string) {
+	first := now.Add(wait)
 	out := wai.service.outputs.duration(wai.Call.OutputTokens, gap)
 	if first.Add(out).After(wai.Deadline) {
 		return reasonDeadline
--- a/internal/router/admit/service.go
+++ b/internal/router/admit/service.go
@@ -13,10 +13,16 @@
 	// queueShare is the number of calls above the slots that are sent to upstreams which queue them, as a share of the slots. A slot that
 	// becomes free is taken again without waiting for a digest.
 	queueShare = 1.0 / 16
-	// plentyShare is the share of free slots from which calls start without regard to the drain rate.
+	// plentyShare is the share of free slots from which calls start although others wait at peers.
 	plentyShare = 1.0 / 20
-	// maxCredit is the number of calls that may start at once at the drain rate.
-	maxCredit = 4
+	// maxCredit is the number of waiting calls that may start at once.
+	maxCredit = 8
+	// viewDelay is how late digests show what other nodes started. Over this time a node takes its part of the free slots.
+	viewDelay = 300 * time.Millisecond
+	// replaceShare is the number of waiting calls that start for each one that ends while no slot is free. Below 1, the calls above the
+	// slots decrease. baseRate is the number per second that start besides, at a node without running calls.
+	replaceShare = 0.5
+	baseRate     = 1.0
 	// forceTargetShare is the part of the target after which a call starts at the drain rate although no slot is known to be
 	// free: the view is late. defaultTarget is assumed for routes without one.
 	forceTargetShare = 0.25
@@ -43,7 +49,7 @@
 	viewedAt   time.Time
 	// running is the number of calls of this node that were started, and started those since viewedAt less the ended ones.
 	running, started int
-	// credit is the number of calls that may start at the drain rate, as of creditAt.
+	// credit is the number of waiting calls that may start, as of creditAt.
 	credit   float64
 	creditAt time.Time
 	// short is set while calls wait or are refused, since shortAt.
@@ -121,19 +127,27 @@
 	return time.Duration(calls / rate * float64(time.Second))
 }
 
-// accrue adds the credit for the time since the last call: the drain rate times this node's part of the waiting calls.
+// accrue adds the credit for the time since the last call. While slots are free, that is this node's part of the waiting calls, of the
+// drain rate and of the free slots.
 func (ser *service) accrue(now time.Time) {
-	own, peers := ser.waiting(math.MaxInt)
-	_, rate, _ := ser.drain.rates(ser.running, ser.view.Running, now)
-	rate *= float64(own) / float64(max(1, own+peers))
-	ser.credit = min(ser.credit+rate*now.Sub(ser.creditAt).Seconds(), maxCredit)
+	rate := baseRate
+	if free := ser.free(); free > 0 {
+		own, peers := ser.waiting(math.MaxInt)
+		_, drain, _ := ser.drain.rates(ser.running, ser.view.Running, now)
+		rate = max(rate, (drain+float64(free)/viewDelay.Seconds())*float64(own)/float64(max(1, own+peers)))
+	}
+	ser.addCredit(rate * now.Sub(ser.creditAt).Seconds())
 	ser.creditAt = now
 }
 
+func (ser *service) addCredit(calls float64) {
+	ser.credit = min(ser.credit+calls, maxCredit)
+}
+
 // mayStart reports whether a waiting call may start now.
 func (ser *service) mayStart(wai *waiter, now time.Time) bool {
 	switch {
-	case ser.view.Slots == 0 || ser.plenty():
+	case ser.view.Slots == 0:
 		return true
 	case ser.credit < 1:
 		return false
