Learn the time of outputs instead of the number of their events

The expected time of an output was the 20% quantile of the events per hinted token times the time between events. Events that are read together count as one gap, so that the time would be overestimated on a node that reads slowly, and calls refused that end in time. The quantile is now taken of the measured time of outputs, relative to the hint times the gap expected at the start, which includes such errors and the changes of the load.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -19,8 +19,8 @@
 	Refuse() (ref *Refusal)
 	// Start records that the call is sent to an upstream that prefills a number of tokens for it.
 	Start(prefillTokens int)
-	// End records the end of the call. Events is the number of its events if its stream was complete, else zero.
-	End(events int)
+	// End records the end of the call. Output is the time from the first event to the end of a complete stream, else zero.
+	End(output time.Duration)
 }
 
 // AdmissionRequest is a call before it is sent.
--- a/internal/router/admit/admit_test.go
+++ b/internal/router/admit/admit_test.go
@@ -113,7 +113,7 @@
 		// left is the time to the deadline; zero selects 4 s.
 		left time.Duration
 		est  router.UpstreamEstimate
-		// ratios are the events per hinted token of former streams.
+		// ratios are the times of former outputs, relative to the hinted tokens times the gap.
 		ratios []float64
 		want   bool
 	}{
@@ -122,7 +122,7 @@
 		"output after the deadline":                {running: slots, hint: 480, ratios: []float64{0.2}, est: router.UpstreamEstimate{FirstEvent: 400 * time.Millisecond, EventGap: 50 * time.Millisecond}},
 		"output in time without prefill of others": {running: slots, hint: 480, ratios: []float64{0.2}, est: router.UpstreamEstimate{FirstEvent: 400 * time.Millisecond, EventGap: 13 * time.Millisecond}, want: true},
 		"one of three such outputs ends in time":   {running: slots, hint: 480, ratios: []float64{0.2, 0.05, 0.2}, est: router.UpstreamEstimate{EventGap: 50 * time.Millisecond}, want: true},
-		"lengths of outputs unknown":               {running: slots, hint: 480, est: router.UpstreamEstimate{EventGap: 50 * time.Millisecond}, want: true},
+		"times of outputs unknown":                 {running: slots, hint: 480, est: router.UpstreamEstimate{EventGap: 50 * time.Millisecond}, want: true},
 		"fewer than half of the slots are taken":   {running: slots / 3, est: router.UpstreamEstimate{FirstEvent: time.Minute}, want: true},
 		"first event after the caller left":        {running: slots, left: time.Minute, est: router.UpstreamEstimate{FirstEvent: 8 * time.Second}},
 	}
@@ -136,7 +136,7 @@
 			req.Call.OutputTokens = cas.hint
 			wai := mod.enter(req)
 			for num := range minRatios * min(1, len(cas.ratios)) {
-				wai.service.outputs.add(int(1000*cas.ratios[num%len(cas.ratios)]), 1000)
+				wai.service.outputs.add(time.Duration(1000*cas.ratios[num%len(cas.ratios)])*time.Second, 1000, time.Second)
 			}
 			if got := wai.Check(cas.est); got != cas.want {
 				t.Errorf("fits: %t", got)
--- a/internal/router/admit/controller.go
+++ b/internal/router/admit/controller.go
@@ -232,6 +232,7 @@
 	ctl.mut.Lock()
 	defer ctl.mut.Unlock()
 	now := ctl.options.Timers.Now()
+	wai.gap = est.EventGap
 	if est.EventGap > 0 {
 		ser.outputs.observeGap(est.EventGap)
 	}
@@ -269,7 +270,7 @@
 }
 
 // End implements router.AdmissionTicket.
-func (wai *waiter) End(events int) {
+func (wai *waiter) End(output time.Duration) {
 	ctl, ser := wai.controller, wai.service
 	ctl.mut.Lock()
 	defer ctl.mut.Unlock()
@@ -281,7 +282,7 @@
 	ser.running--
 	ser.started--
 	if wai.sent {
-		ser.outputs.add(events, wai.Call.OutputTokens)
+		ser.outputs.add(output, wai.Call.OutputTokens, wai.gap)
 		ser.drain.add(now.Sub(wai.begun), now)
 	}
 	if len(ser.queue) > 0 {
--- a/internal/router/admit/drain.go
+++ b/internal/router/admit/drain.go
@@ -14,12 +14,12 @@
 	durationWeight = 0.1
 	// assumedDuration is the duration of calls before the first one has ended.
 	assumedDuration = 5 * time.Second
-	// maxEnds bounds the ended calls that are kept, and maxRatios the lengths of outputs.
+	// maxEnds bounds the ended calls that are kept, and maxRatios the times of outputs.
 	maxEnds   = 1024
 	maxRatios = 128
-	// minRatios is the number of outputs from which their lengths are used.
+	// minRatios is the number of outputs from which their times are used.
 	minRatios = 16
-	// lowQuantile is the quantile of the output length by which a call is refused: four of five outputs are longer.
+	// lowQuantile is the quantile of the output time by which a call is refused: four of five outputs take longer.
 	lowQuantile = 0.2
 	// gapWeight is the weight of the newest estimate in the mean time between events.
 	gapWeight = 0.1
@@ -73,9 +73,10 @@
 	return own, max(all, counted*float64(fleet)/float64(max(local, 1, min(fleet, len(drn.ends))))), known
 }
 
-// outputs learns the length of outputs.
+// outputs learns the time of outputs, relative to the hinted tokens times the time between events that was expected at the start. That
+// includes the number of tokens in an event, events that are read together, and changes of the load.
 type outputs struct {
-	// ratios holds the events per hinted token of the streams that ended last, in a ring that continues at next; sorted is a copy.
+	// ratios holds the relative times of the streams that ended last, in a ring that continues at next; sorted is a copy.
 	ratios []float64
 	next   int
 	sorted []float64
@@ -83,12 +84,12 @@
 	gap time.Duration
 }
 
-// add records a complete stream.
-func (out *outputs) add(events, hint int) {
-	if events <= 0 || hint <= 0 {
+// add records a complete stream whose output took a time.
+func (out *outputs) add(took time.Duration, hint int, gap time.Duration) {
+	if took <= 0 || hint <= 0 || gap <= 0 {
 		return
 	}
-	val := float64(events) / float64(hint)
+	val := float64(took) / (float64(hint) * float64(gap))
 	if len(out.ratios) < maxRatios {
 		out.ratios = append(out.ratios, val)
 	} else {
--- a/internal/router/admit/fleet_test.go
+++ b/internal/router/admit/fleet_test.go
@@ -114,7 +114,7 @@
 						if cal.work -= time.Duration(speed * float64(step)); cal.work > 0 {
 							return false
 						}
-						cal.End(10)
+						cal.End(0)
 						return true
 					})
 					if (at/step+time.Duration(nod))%(digestPeriod/step) == 0 {
--- a/internal/router/admit/load_test.go
+++ b/internal/router/admit/load_test.go
@@ -58,9 +58,8 @@
 
 	kind *arrivals
 	at   time.Time
-	// work is the time of the call at an upstream with a slot for it, and events the number of its events.
-	work   time.Duration
-	events int
+	// work is the time of the call at an upstream with a slot for it.
+	work time.Duration
 	// returns is how often the caller was refused and came back.
 	returns int
 }
@@ -90,7 +89,6 @@
 		cal.waiter = mod.enter(req)
 	}
 	cal.at, cal.work = mod.timers.Now(), took*time.Duration([]int{10, 5, 18, 8, 13}[mod.result(cal).sent%5])/10
-	cal.events = int(10 * cal.work / took)
 	mod.result(cal).sent++
 	mod.waiting = append(mod.waiting, cal)
 }
@@ -135,7 +133,7 @@
 			return false
 		}
 		if !mod.open {
-			cal.End(cal.events)
+			cal.End(now.Sub(cal.begun))
 		}
 		if mod.result(cal).served++; now.After(cal.Deadline) {
 			mod.result(cal).late++
--- a/internal/router/admit/queue.go
+++ b/internal/router/admit/queue.go
@@ -28,6 +28,8 @@
 	rank int
 	// estimate is the best one that Check has seen.
 	estimate router.UpstreamEstimate
+	// gap is the time between events that the last Check expected.
+	gap time.Duration
 	// decided is closed when the call starts or is refused; refusal is set before that if it is refused.
 	decided chan struct{}
 	refusal *router.Refusal
--- a/internal/router/send/admit.go
+++ b/internal/router/send/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/place"
@@ -83,9 +84,10 @@
 	if act.ticket == nil {
 		return
 	}
-	events := 0
-	if act.complete {
-		events = act.events
+	output := time.Duration(0)
+	if act.complete && act.job.Route.Stream && act.attempts == 1 {
+		cal := act.job.Call
+		output = act.sender.options.Timers.Now().Sub(cal.Arrived) - act.firstEvent
 	}
-	act.ticket.End(events)
+	act.ticket.End(output)
 }
--- a/internal/router/send/admit_test.go
+++ b/internal/router/send/admit_test.go
@@ -18,7 +18,7 @@
 // scriptedAdmission is an admission with fixed decisions.
 type scriptedAdmission struct {
 	refuse, waits, unfit, spare bool
-	starts, ends, events        int
+	starts, ends, outputs       int
 }
 
 func (adm *scriptedAdmission) Admit(ctx context.Context, _ router.AdmissionRequest) (tkt router.AdmissionTicket, ref *router.Refusal) {
@@ -43,9 +43,11 @@
 
 func (adm *scriptedAdmission) Start(int) { adm.starts++ }
 
-func (adm *scriptedAdmission) End(events int) {
+func (adm *scriptedAdmission) End(output time.Duration) {
 	adm.ends++
-	adm.events += events
+	if output > 0 {
+		adm.outputs++
+	}
 }
 
 // TestAdmission guards against sending a call that was refused or still waits, which its caller is told has not run, and against a
@@ -55,17 +57,17 @@
 	cases := map[string]struct {
 		admission scriptedAdmission
 		responses []string
-		// want has the counts of starts, ends and events.
+		// want has the counts of starts, ends and complete outputs.
 		want   scriptedAdmission
 		status int
 		sent   int
 	}{
-		"admitted":                        {responses: []string{stream}, want: scriptedAdmission{starts: 1, ends: 1, events: 3}, status: 200, sent: 1},
+		"admitted":                        {responses: []string{stream}, want: scriptedAdmission{starts: 1, ends: 1, outputs: 1}, status: 200, sent: 1},
 		"stream that breaks":              {responses: []string{events + oneTwo + fakes.ThenClose}, want: scriptedAdmission{starts: 1, ends: 1}, status: 200, sent: 1},
 		"refused":                         {admission: scriptedAdmission{refuse: true}, status: 503},
 		"deadline while it waits":         {admission: scriptedAdmission{waits: true}, status: 503},
 		"fits nowhere":                    {admission: scriptedAdmission{unfit: true}, want: scriptedAdmission{ends: 1}, status: 503},
-		"fits nowhere, sent nevertheless": {admission: scriptedAdmission{unfit: true, spare: true}, responses: []string{stream}, want: scriptedAdmission{starts: 1, ends: 1, events: 3}, status: 200, sent: 1},
+		"fits nowhere, sent nevertheless": {admission: scriptedAdmission{unfit: true, spare: true}, responses: []string{stream}, want: scriptedAdmission{starts: 1, ends: 1, outputs: 1}, status: 200, sent: 1},
 	}
 	for name, cas := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -80,7 +82,7 @@
 			if rec.Code == http.StatusServiceUnavailable && rep.Outcome != router.NotRun {
 				t.Errorf("outcome %s", rep.Outcome)
 			}
-			if adm.starts != cas.want.starts || adm.ends != cas.want.ends || adm.events != cas.want.events {
+			if adm.starts != cas.want.starts || adm.ends != cas.want.ends || adm.outputs != cas.want.outputs {
 				t.Errorf("got %+v, want %+v", adm, cas.want)
 			}
 		})
