--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/conf"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/admit"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/budget"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/conns"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
@@ -148,6 +149,7 @@
 	nod.budget = budget.NewRegistry(retryBudgetFactor * set.Platform.RetryReserve / assumedNodes)
 	nod.reporter = intake.NewReporter(opt.Timers, opt.Log, met)
 	nod.memory = newMemory(opt, nod.reporter)
+	pes.admission = admit.New(admit.Options{Timers: opt.Timers, Log: opt.Log, View: nod.serviceView(trs), OnEvent: met.Event})
 	nod.handler = &Handler{
 		meter:      met,
 		memory:     nod.memory,
@@ -173,6 +175,7 @@
 			OnRun:      nod.duties.onRun(),
 			Log:        opt.Log,
 			Memory:     nod.memory,
+			Admission:  pes.admission,
 			RetryShare: retryBudgetFactor * set.Platform.RetryShare,
 		}),
 	}
--- a/internal/router/place/fleet.go
+++ b/internal/router/place/fleet.go
@@ -41,9 +41,9 @@
 		lod.mut.Lock()
 		all := lod.local
 		all.add(lod.peers, 1)
-		if lod.prefillRate > 0 {
+		if rate := lod.observedRate(); rate > 0 {
 			rates++
-			sum += lod.prefillRate
+			sum += rate
 		}
 		if now.Before(lod.ejectedUntil) {
 			dem.Ejected++
@@ -57,3 +57,11 @@
 	}
 	return dem
 }
+
+// observedRate returns the prefill rate of the engine as the fleet learned it, else as this node observed it, or zero. The caller holds the lock.
+func (lod *load) observedRate() (rate float64) {
+	if lod.rated() {
+		return lod.rate.fleet.value
+	}
+	return lod.prefillRate
+}
--- a/internal/router/send/send_test.go
+++ b/internal/router/send/send_test.go
@@ -100,6 +100,13 @@
 	return send.New(opt), opt.Roster
 }
 
+// newAdmittingSender is newSender with admission control.
+func newAdmittingSender(grd *guard.Guard, adm router.Admission, scrs ...*fakes.ScriptedServer) (snd *send.Sender) {
+	opt := senderOptions(grd, scrs...)
+	opt.Admission = adm
+	return send.New(opt)
+}
+
 // senderOptions returns the options of a Sender to scripted upstreams.
 func senderOptions(grd *guard.Guard, scrs ...*fakes.ScriptedServer) (opt send.Options) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
