Omit windows before a restore although the store has a row for them

A write of a report that was held back is applied to the restored store if the lease row has the same version in the copy. Another holder may have sent its own report on that window before the restore; the next holder then found the row and sent a second report with other counts. A report that was stored before the restore is now repeated only by a process that has sent it, as the specification says.

The model of the store compares versions across eras, as the store does, and a new case of TestSingleFailures got two different reports before the change.

--- a/internal/router/usage/collector.go
+++ b/internal/router/usage/collector.go
@@ -210,9 +210,12 @@
 		}
 	}
 	switch {
-	case sta.final || sta.done:
-	case window < ses.first:
+	case sta.done:
+	case window < ses.first && clr.sent[window] == nil:
+		// A row does not prove that its report is the one that was sent: a write that was held back may have been applied to the
+		// restored store, because the lease row had the same version in the copy.
 		clr.omit(window, sta, "ended before the era of the store was seen")
+	case sta.final:
 	case !sta.composed && !clr.clock.isKept(window):
 		clr.omit(window, sta, "counts no longer kept")
 	}
--- a/internal/router/usage/sim_test.go
+++ b/internal/router/usage/sim_test.go
@@ -116,7 +116,7 @@
 	}
 	nod.fence, nod.believes, nod.own = number+1, true, flt.era
 	wri := router.RowWrite{Key: leaseKey, Value: []byte(fmt.Sprint(number + 1)), IfVersion: flt.rows[leaseKey].Version}
-	if err := flt.apply(flt.era, wri); err != nil {
+	if err := flt.apply(wri); err != nil {
 		flt.t.Fatal(err)
 	}
 	nod.version = flt.last
@@ -132,9 +132,10 @@
 	nod.svc.OnRun(workspace)
 }
 
-func (flt *fleet) apply(era int64, wrs ...router.RowWrite) (err error) {
+// apply applies writes whose conditions hold. As the store does, it compares versions of an earlier era with those of the present one.
+func (flt *fleet) apply(wrs ...router.RowWrite) (err error) {
 	for _, wri := range wrs {
-		if era != flt.era || flt.rows[wri.Key].Version != wri.IfVersion {
+		if flt.rows[wri.Key].Version != wri.IfVersion {
 			return router.ErrCondition
 		}
 	}
@@ -162,21 +163,34 @@
 	wrs = append(wrs, router.RowWrite{Key: leaseKey, Value: row.Value, IfVersion: nod.version})
 	era := nod.own
 	if happens(flt.delayWrite) {
-		flt.tms.After(time.Duration(flt.random.Int64N(int64(8*time.Second))), func(time.Time) { _ = flt.apply(era, wrs...) })
+		flt.tms.After(time.Duration(flt.random.Int64N(int64(8*time.Second))), func(time.Time) { _ = flt.apply(wrs...) })
 		return router.ErrUnavailable
 	}
-	if err := flt.apply(era, wrs...); err != nil {
+	if err := flt.apply(wrs...); err != nil {
 		return err
 	}
 	if happens(flt.dieAfterWrite) {
 		nod.dead = true
 	}
-	if happens(flt.loseAnswer) {
+	if era != flt.era || happens(flt.loseAnswer) {
 		return router.ErrUnavailable
 	}
 	return nil
 }
 
+// late returns a function that applies the write of a report of a node as if it had been sent now.
+func (flt *fleet) late(nod *node, workspace string, count int) (apply func()) {
+	flt.t.Helper()
+	win := flt.tms.Now().UnixNano()/int64(testWindow) - 1
+	row := router.RowWrite{Key: fmt.Sprint(rowPrefix, win), Value: fmt.Appendf(nil, `{"Window":%d,"Counts":{%q:%d}}`, win, workspace, count)}
+	lease := router.RowWrite{Key: leaseKey, Value: flt.rows[leaseKey].Value, IfVersion: nod.version}
+	return func() {
+		if err := flt.apply(lease, row); err != nil {
+			flt.t.Fatal(err)
+		}
+	}
+}
+
 func (nod *node) List(_ context.Context, prefix string) (rws []router.StoredRow, era int64, err error) {
 	if happens(nod.flt.loseAnswer) {
 		return nil, 0, router.ErrUnavailable
--- a/internal/router/usage/usage_test.go
+++ b/internal/router/usage/usage_test.go
@@ -115,6 +115,16 @@
 		"restored before the report":      {at: 100 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.nodes["a"].believes = false; handOver(flt) }, sends: omitted},
 		"restored after the call":         {at: 4 * time.Second, act: func(flt *fleet) { flt.restore(nil); handOver(flt) }, sends: 1},
 		"restored after a lost answer":    {fault: func(flt *fleet) { flt.loseReport = once() }, at: 1050 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.acquire(flt.nodes["a"]) }, sends: 2},
+		"restored, then a write of another holder applied late": {at: 600 * time.Millisecond, act: func(flt *fleet) {
+			saved := maps.Clone(flt.rows)
+			late := flt.late(flt.nodes["a"], "some", 1)
+			handOver(flt)
+			flt.tms.After(4*time.Second, func(time.Time) {
+				flt.restore(saved)
+				late()
+				flt.acquire(flt.nodes["c"])
+			})
+		}, sends: 2},
 		"restored, holder starts after":   {at: 4 * time.Second, act: func(flt *fleet) { flt.restore(nil); flt.acquire(flt.start("b", false)) }, sends: 1},
 		"accepted, duties lost, regained": {at: 4 * time.Second, act: func(flt *fleet) { flt.acquire(flt.nodes["a"]) }, sends: 1},
 	}
