Let DutyLease.Commit take the fence that its caller checked

A caller checks the fence and then commits. If its process was suspended in between, the commit could begin in a later lease of the same node, with rows and versions of an earlier era; the time limit of the call does not run during a suspension. Commit now fails unless the lease still has that fence.

--- a/internal/router/duties.go
+++ b/internal/router/duties.go
@@ -18,9 +18,9 @@
 type DutyLease interface {
 	// Fence returns the fence for a call that ends within a time limit; ok is false if this node does not hold the duties for so long.
 	Fence(limit time.Duration) (fen Fence, ok bool)
-	// Commit writes rows if this node still holds the duties when the store applies the write. It returns ErrCondition if it does
-	// not or if a row has another version, and ErrUnavailable if the outcome is unknown.
-	Commit(ctx context.Context, wrs ...RowWrite) (err error)
+	// Commit writes rows if this node still holds the duties by a fence when the store applies the write. It returns ErrCondition if
+	// it does not or if a row has another version, and ErrUnavailable if the outcome is unknown.
+	Commit(ctx context.Context, fen Fence, wrs ...RowWrite) (err error)
 }
 
 // StoredRow is a row of the platform's store with the version that the store gave it.
--- a/internal/router/duty/lease.go
+++ b/internal/router/duty/lease.go
@@ -120,16 +120,17 @@
 	return router.Fence{Holder: les.options.Holder, Number: les.state.seen.row.Token}, true
 }
 
-// Commit writes rows together with a renewal of the lease. The versions are those of the era in which this node acquired the lease:
-// rows that were listed before Fence returned another number must be listed again.
-func (les *Lease) Commit(ctx context.Context, wrs ...router.RowWrite) (err error) {
+// Commit writes rows together with a renewal of the lease by a fence that Fence returned. The versions are those of the era of that fence:
+// rows that were listed before Fence returned another number must be listed again. A write that its caller held back until a later
+// lease of this node has another fence and fails.
+func (les *Lease) Commit(ctx context.Context, fen router.Fence, wrs ...router.RowWrite) (err error) {
 	defer errs.Annotate(&err, "commit with duty lease")
 	les.calls.Lock()
 	defer les.calls.Unlock()
 	for range 2 {
 		les.mut.Lock()
 		now := les.options.Clock()
-		if les.stopping || !les.state.valid(now, 0) {
+		if les.stopping || !les.state.valid(now, 0) || les.state.seen.row.Token != fen.Number {
 			les.mut.Unlock()
 			return router.ErrCondition
 		}
--- a/internal/router/duty/lease_test.go
+++ b/internal/router/duty/lease_test.go
@@ -177,7 +177,8 @@
 		"held": {func(*fixture) {}, nil},
 		"renewal applied without an answer": {func(fix *fixture) {
 			fix.rows.lose = true
-			_ = fix.Commit(t.Context())
+			fen, _ := fix.Fence(0)
+			_ = fix.Commit(t.Context(), fen)
 			fix.rows.lose = false
 		}, nil},
 		"row exists": {func(fix *fixture) { fix.rows.rows[usage.Key] = router.StoredRow{Key: usage.Key, Version: 3} }, router.ErrCondition},
@@ -185,6 +186,13 @@
 			val, _ := json.Marshal(row{Holder: "b", Token: 9, Era: 1})
 			fix.rows.rows[rowKey] = router.StoredRow{Key: rowKey, Value: val, Version: 900}
 		}, router.ErrCondition},
+		"held back until a later lease of this node": {func(fix *fixture) {
+			fix.rows.era++
+			fix.timers.Advance(20 * time.Second)
+			if _, ok := fix.Fence(0); !ok {
+				panic("no second lease")
+			}
+		}, router.ErrCondition},
 		"store down": {func(fix *fixture) { fix.rows.down = true }, router.ErrUnavailable},
 		"stopped":    {func(fix *fixture) { fix.Stop(t.Context()) }, router.ErrCondition},
 	}
@@ -193,8 +201,9 @@
 			rws, tms := newRows()
 			fix := newFixture(t, rws, tms, "a")
 			tms.Advance(5 * time.Second)
+			fen, _ := fix.Fence(0)
 			cas.change(fix)
-			err := fix.Commit(t.Context(), usage)
+			err := fix.Commit(t.Context(), fen, usage)
 			if !errors.Is(err, cas.want) || cas.want == nil && err != nil {
 				t.Fatalf("%v, want %v", err, cas.want)
 			}
--- a/internal/router/scale/cloud_test.go
+++ b/internal/router/scale/cloud_test.go
@@ -77,7 +77,7 @@
 	return router.Fence{Holder: "node", Number: cld.fence}, cld.fence > 0
 }
 
-func (*cloud) Commit(context.Context, ...router.RowWrite) (err error) { return nil }
+func (*cloud) Commit(context.Context, router.Fence, ...router.RowWrite) (err error) { return nil }
 
 func (*cloud) ReportUsage(context.Context, router.Fence, router.UsageReport) (err error) { return nil }
 
--- a/internal/router/usage/report.go
+++ b/internal/router/usage/report.go
@@ -160,10 +160,11 @@
 	// The time limit begins before the check, so that a write after a long pause of this process does not begin.
 	sub, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if _, ok := clr.holds(ses, storeTimeout); !ok {
+	fen, ok := clr.holds(ses, storeTimeout)
+	if !ok {
 		return errSessionOver
 	}
-	if err := clr.service.options.Lease.Commit(sub, wrs...); err != nil {
+	if err := clr.service.options.Lease.Commit(sub, fen, wrs...); err != nil {
 		return err
 	}
 	if _, ok := clr.holds(ses, 0); !ok {
--- a/internal/router/usage/sim_test.go
+++ b/internal/router/usage/sim_test.go
@@ -157,8 +157,11 @@
 }
 
 // Commit writes on the condition that the lease row has the node's version, which the write leaves as it is.
-func (nod *node) Commit(_ context.Context, wrs ...router.RowWrite) (err error) {
+func (nod *node) Commit(_ context.Context, fen router.Fence, wrs ...router.RowWrite) (err error) {
 	flt := nod.flt
+	if fen.Number != nod.fence {
+		return router.ErrCondition
+	}
 	row := flt.rows[leaseKey]
 	wrs = append(wrs, router.RowWrite{Key: leaseKey, Value: row.Value, IfVersion: nod.version})
 	era := nod.own
--- a/internal/router/usage/usage_test.go
+++ b/internal/router/usage/usage_test.go
@@ -111,10 +111,10 @@
 			end := flt.tms.Now().Add(17 * time.Second)
 			flt.loseReport = func() bool { return flt.tms.Now().Before(end) }
 		}, sends: 0},
-		"platform down for longer":        {fault: func(flt *fleet) { flt.loseReport = func() bool { return true } }, sends: gaveUp},
-		"restored before the report":      {at: 100 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.nodes["a"].believes = false; handOver(flt) }, sends: omitted},
-		"restored after the call":         {at: 4 * time.Second, act: func(flt *fleet) { flt.restore(nil); handOver(flt) }, sends: 1},
-		"restored after a lost answer":    {fault: func(flt *fleet) { flt.loseReport = once() }, at: 1050 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.acquire(flt.nodes["a"]) }, sends: 2},
+		"platform down for longer":     {fault: func(flt *fleet) { flt.loseReport = func() bool { return true } }, sends: gaveUp},
+		"restored before the report":   {at: 100 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.nodes["a"].believes = false; handOver(flt) }, sends: omitted},
+		"restored after the call":      {at: 4 * time.Second, act: func(flt *fleet) { flt.restore(nil); handOver(flt) }, sends: 1},
+		"restored after a lost answer": {fault: func(flt *fleet) { flt.loseReport = once() }, at: 1050 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.acquire(flt.nodes["a"]) }, sends: 2},
 		"restored, then a write of another holder applied late": {at: 600 * time.Millisecond, act: func(flt *fleet) {
 			saved := maps.Clone(flt.rows)
 			late := flt.late(flt.nodes["a"], "some", 1)
