Send copies of the usage counts until a node that stops has ended its requests

A node that stops gave the duties away at once, and the same call ended the copies of its counts. Requests that it completed during the grace period were lost unless the holder collected the window before the process ended. Copies are now sent until the requests have ended, with a last one then. TestStoppingNodeIsCounted counts what runs after the stop.

--- a/internal/router/edge/duties.go
+++ b/internal/router/edge/duties.go
@@ -29,6 +29,8 @@
 	// parts start in this order and stop in the reverse one, so that the lease is released last.
 	parts    []dutyPart
 	stopOnce sync.Once
+	// finishUsage sends the last copy of the usage counts.
+	finishUsage func()
 }
 
 // dutyPart is a part that acts while the node runs. It makes calls only as far as the lease allows.
@@ -104,7 +106,7 @@
 		dts.usage.Join(nod.mesh)
 		ctx, cancel := context.WithCancel(context.Background())
 		stop := func() {}
-		dts.add(func() { stop = dts.usage.Start(ctx) }, func() {
+		dts.add(func() { stop, dts.finishUsage = dts.usage.Start(ctx) }, func() {
 			cancel()
 			stop()
 		})
@@ -150,6 +152,13 @@
 	}
 }
 
+// finish sends the last copy of the usage counts, when all requests have ended.
+func (dts *dutyParts) finish() {
+	if dts != nil && dts.finishUsage != nil {
+		dts.finishUsage()
+	}
+}
+
 // stop stops all parts and releases the lease. It returns when that is done, also if another call does it.
 func (dts *dutyParts) stop() {
 	if dts == nil {
--- a/internal/router/edge/node.go
+++ b/internal/router/edge/node.go
@@ -266,6 +266,7 @@
 		nod.budget.SetMaxTokens(retryBudgetFactor * nod.settings.Load().Platform.RetryReserve / float64(divisor(nod.mesh.FleetSize())))
 	})()
 	nod.duties.start()
+	defer nod.duties.finish()
 	defer nod.duties.stop()
 	nod.addSignalHandler(&grp, srv)
 	nod.options.Log.Info("node started", "Listen", set.Listen, "FailureDomain", set.FailureDomain, "Region", set.Region)
@@ -361,4 +362,5 @@
 	if err := srv.Shutdown(ctx); err != nil {
 		nod.options.Log.Warn("requests cut at the end of the grace period", "Active", nod.handler.active.Load(), "Error", err.Error())
 	}
+	nod.duties.finish()
 }
--- a/internal/router/usage/service.go
+++ b/internal/router/usage/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -82,20 +83,19 @@
 	svc.collector = newCollector(svc, clock{timers: svc.options.Timers, window: svc.options.Window})
 }
 
-// Start sends copies and reports until stop is called, which sends the last copy. The context bounds the calls to the store and the
-// platform.
-func (svc *Service) Start(ctx context.Context) (stop func()) {
+// Start sends reports until stop is called, and copies until finish is called, which sends the last one: a node that stops gives
+// the duties away at once, and completes requests after that. The context bounds the calls to the store and the platform.
+func (svc *Service) Start(ctx context.Context) (stop, finish func()) {
 	stopCopies := svc.options.Timers.Every(copyInterval, func(time.Time) {
 		if svc.counter.takeChanged() {
 			svc.sendCopies()
 		}
 	})
 	stopSteps := svc.options.Timers.Every(stepInterval, func(time.Time) { svc.collector.step(ctx) })
-	return func() {
+	return stopSteps, sync.OnceFunc(func() {
 		stopCopies()
-		stopSteps()
 		svc.sendCopies()
-	}
+	})
 }
 
 // OnRun counts a request of a workspace that an upstream began to execute.
--- a/internal/router/usage/sim_test.go
+++ b/internal/router/usage/sim_test.go
@@ -53,13 +53,14 @@
 
 // node is a process of a node; it implements Fleet, router.DutyLease, router.RowStore and router.DutyCaller for its Service.
 type node struct {
-	flt   *fleet
-	name  string
-	svc   *Service
-	stop  func()
-	dead  bool
-	cut   bool
-	fence int64
+	flt  *fleet
+	name string
+	svc  *Service
+	// stop and finish are those of the Service.
+	stop, finish func()
+	dead         bool
+	cut          bool
+	fence        int64
 	// believes is set while the node believes to hold the duties; version and era are those of its lease row.
 	believes     bool
 	version, own int64
@@ -81,7 +82,7 @@
 	}
 	nod.svc = New(opt)
 	nod.svc.Join(nod)
-	nod.stop = nod.svc.Start(context.Background())
+	nod.stop, nod.finish = nod.svc.Start(context.Background())
 	flt.nodes[name] = nod
 	return nod
 }
@@ -91,6 +92,7 @@
 	if nod := flt.nodes[name]; nod != nil {
 		nod.dead = true
 		nod.stop()
+		nod.finish()
 		delete(flt.nodes, name)
 	}
 }
--- a/internal/router/usage/usage_test.go
+++ b/internal/router/usage/usage_test.go
@@ -214,6 +214,30 @@
 	}
 }
 
+// TestStoppingNodeIsCounted guards against the loss of the requests that a node completes after it has stopped to report.
+func TestStoppingNodeIsCounted(t *testing.T) {
+	flt := newFleet(t)
+	for _, nam := range []string{"a", "b", "c"} {
+		flt.start(nam, true)
+	}
+	flt.tms.Advance(testWindow)
+	flt.acquire(flt.nodes["a"])
+	win := flt.tms.Now().UnixNano() / int64(testWindow)
+	old := flt.nodes["c"]
+	flt.count(old, "some")
+	flt.tms.Advance(500 * time.Millisecond)
+	old.stop()
+	flt.count(old, "some")
+	flt.tms.Advance(1500 * time.Millisecond)
+	flt.count(old, "some")
+	old.finish()
+	flt.kill("c")
+	flt.tms.Advance(testWithin)
+	if rps := flt.reports[win]; len(rps) == 0 || rps[0].Counts["some"] != 3 {
+		t.Errorf("reports %v, want 3 requests", rps)
+	}
+}
+
 // TestOldRowsAreRemoved guards against rows of reports that fill the store, and against the removal of rows that are still needed.
 func TestOldRowsAreRemoved(t *testing.T) {
 	flt := newFleet(t)
