Keep replaced upstreams of a service that is no longer idle if they are needed

The exchange of an idle service went on under load without regard to the need, faults or nodes that are not heard. In a burst that began during the exchange, 6 cuts and 5 orders for more followed each other within 8 s, and a holder that was cut off made cuts on the demand of its own node. The cuts under load now respect the bounds of all other cuts, and the exchange ends if they allow none.

Both new cases of TestLoads failed before.

--- a/internal/router/scale/idle.go
+++ b/internal/router/scale/idle.go
@@ -94,18 +94,44 @@
 	if drf.mem.tallies[spot].serving < swp.spot || drf.mem.tallies[reg].lost > 0 || !drf.mem.orders[reg].confirmedOrNone() {
 		return
 	}
-	num := swp.regular
 	if !drf.idle() {
-		if drf.Now.Sub(drf.mem.cutAt) < cutPeriod {
-			return
-		}
-		num = min(num, max(1, drf.inDomain(drf.counted, reg.FailureDomain)/cutDivisor))
+		drf.finishUnderLoad(reg, swp)
+		return
 	}
-	num = min(num, drf.base[reg])
+	num := min(swp.regular, drf.base[reg])
 	drf.counted[reg] -= num
 	drf.base[reg] -= num
 	drf.reasons[reg] = Replaced
 	drf.cutDomains = append(drf.cutDomains, reg.FailureDomain)
+	drf.keepSwap(reg, swp, num)
+}
+
+// finishUnderLoad cuts replaced upstreams in small steps after calls have arrived. If none can be cut, because they are needed by now, the rest
+// stays, and is cut like any other surplus later.
+func (drf *draft) finishUnderLoad(reg Group, swp swap) {
+	if drf.Now.Sub(drf.mem.cutAt) < cutPeriod || drf.Now.Sub(drf.mem.faultAt) < calmPeriod {
+		return
+	}
+	for _, one := range drf.mem.last(drf.Now, calmPeriod) {
+		if !one.complete {
+			return
+		}
+	}
+	num := 0
+	for num < swp.regular && drf.canCut(reg) {
+		drf.change(reg, -1, Replaced)
+		drf.cutDomains = append(drf.cutDomains, reg.FailureDomain)
+		num++
+	}
+	if num == 0 {
+		delete(drf.swaps, reg.FailureDomain)
+		return
+	}
+	drf.keepSwap(reg, swp, num)
+}
+
+// keepSwap keeps what is left of a swap after some of its upstreams were cut.
+func (drf *draft) keepSwap(reg Group, swp swap, num int) {
 	if swp.regular -= num; swp.regular == 0 {
 		delete(drf.swaps, reg.FailureDomain)
 	} else {
--- a/internal/router/scale/scale_test.go
+++ b/internal/router/scale/scale_test.go
@@ -132,6 +132,21 @@
 			}
 		},
 	},
+	"a burst while the upstreams of an idle service are replaced": {
+		start: map[Group]int{regularA: 6, regularB: 6, regularC: 6}, spot: 0.4, load: stepped(0, 6, 88),
+		length: 60, lowest: 18, from: 22, to: 25,
+		check: func(t *testing.T, cld *cloud) {
+			// Three orders of spot upstreams, and those for the burst.
+			if len(cld.orders) > 5 {
+				t.Errorf("cut and ordered again: %v", cld.orders)
+			}
+		},
+	},
+	"a holder cut off while the upstreams of an idle service are replaced": {
+		start: map[Group]int{regularA: 6, regularB: 6, regularC: 6}, spot: 0.4, load: stepped(0, 6, 20),
+		events: map[int]func(*cloud){6: func(cld *cloud) { cld.blind = true }},
+		length: 60, lowest: 18, from: 24, to: 24,
+	},
 	"upstreams that appear one after the other at a start": {
 		start: map[Group]int{regularA: 2, regularB: 2, regularC: 2}, spot: 0.4, load: stepped(0, 22, 20),
 		events: map[int]func(*cloud){
