Count upstreams that are being removed in the exchange of an idle service

The spot upstreams that an exchange orders were bounded by the ordered count of the failure domain, not by what still serves there. After a cut that had not taken effect, the failure domain could get more upstreams than its maximum. TestIdleMaximum got 14 of 12 before.

--- a/internal/router/scale/idle.go
+++ b/internal/router/scale/idle.go
@@ -70,7 +70,7 @@
 	}
 	num := int(maxSpotShare*float64(drf.inDomain(drf.base, dom))) - drf.base[spot]
 	// All spot upstreams of one failure domain may be reclaimed at once.
-	num = min(num, int((1-minLeftShare)*float64(drf.intended()))-drf.base[spot], spc.Max-drf.inDomain(drf.base, dom), drf.base[reg])
+	num = min(num, int((1-minLeftShare)*float64(drf.intended()))-drf.base[spot], spc.Max-drf.occupied(dom), drf.base[reg])
 	if num <= 0 {
 		return
 	}
