--- a/internal/router/usage/usage_test.go
+++ b/internal/router/usage/usage_test.go
@@ -111,10 +111,20 @@
 			end := flt.tms.Now().Add(17 * time.Second)
 			flt.loseReport = func() bool { return flt.tms.Now().Before(end) }
 		}, sends: 0},
-		"platform down for longer":        {fault: func(flt *fleet) { flt.loseReport = func() bool { return true } }, sends: gaveUp},
-		"restored before the report":      {at: 100 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.nodes["a"].believes = false; handOver(flt) }, sends: omitted},
-		"restored after the call":         {at: 4 * time.Second, act: func(flt *fleet) { flt.restore(nil); handOver(flt) }, sends: 1},
-		"restored after a lost answer":    {fault: func(flt *fleet) { flt.loseReport = once() }, at: 1050 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.acquire(flt.nodes["a"]) }, sends: 2},
+		"platform down for longer":     {fault: func(flt *fleet) { flt.loseReport = func() bool { return true } }, sends: gaveUp},
+		"restored before the report":   {at: 100 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.nodes["a"].believes = false; handOver(flt) }, sends: omitted},
+		"restored after the call":      {at: 4 * time.Second, act: func(flt *fleet) { flt.restore(nil); handOver(flt) }, sends: 1},
+		"restored after a lost answer": {fault: func(flt *fleet) { flt.loseReport = once() }, at: 1050 * time.Millisecond, act: func(flt *fleet) { flt.restore(nil); flt.acquire(flt.nodes["a"]) }, sends: 2},
+		"restored, then a write of another holder applied late": {at: 600 * time.Millisecond, act: func(flt *fleet) {
+			saved := maps.Clone(flt.rows)
+			late := flt.late(flt.nodes["a"], "some", 1)
+			handOver(flt)
+			flt.tms.After(4*time.Second, func(time.Time) {
+				flt.restore(saved)
+				late()
+				flt.acquire(flt.nodes["c"])
+			})
+		}, sends: 2},
 		"restored, holder starts after":   {at: 4 * time.Second, act: func(flt *fleet) { flt.restore(nil); flt.acquire(flt.start("b", false)) }, sends: 1},
 		"accepted, duties lost, regained": {at: 4 * time.Second, act: func(flt *fleet) { flt.acquire(flt.nodes["a"]) }, sends: 1},
 	}
@@ -204,6 +214,30 @@
 	}
 }
 
+// TestStoppingNodeIsCounted guards against the loss of the requests that a node completes after it has stopped to report.
+func TestStoppingNodeIsCounted(t *testing.T) {
+	flt := newFleet(t)
+	for _, nam := range []string{"a", "b", "c"} {
+		flt.start(nam, true)
+	}
+	flt.tms.Advance(testWindow)
+	flt.acquire(flt.nodes["a"])
+	win := flt.tms.Now().UnixNano() / int64(testWindow)
+	old := flt.nodes["c"]
+	flt.count(old, "some")
+	flt.tms.Advance(500 * time.Millisecond)
+	old.stop()
+	flt.count(old, "some")
+	flt.tms.Advance(1500 * time.Millisecond)
+	flt.count(old, "some")
+	old.finish()
+	flt.kill("c")
+	flt.tms.Advance(testWithin)
+	if rps := flt.reports[win]; len(rps) == 0 || rps[0].Counts["some"] != 3 {
+		t.Errorf("reports %v, want 3 requests", rps)
+	}
+}
+
 // TestOldRowsAreRemoved guards against rows of reports that fill the store, and against the removal of rows that are still needed.
 func TestOldRowsAreRemoved(t *testing.T) {
 	flt := newFleet(t)
