Keep calls only from slow engines that miss a gap target which usual engines meet

Engines at 0.77 of the usual rate were kept from short prompts although they meet the gap targets; with 12 engines that left too few for them.

--- a/internal/router/place/slow.go
+++ b/internal/router/place/slow.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// slowRatio is the rate, relative to the median of the service, below which an engine is slow, and usualRatio the one
-	// above which it no longer is. Engines that change their class lose their cached prefixes.
-	slowRatio  = 0.85
-	usualRatio = 0.92
+	// maxSlowRatio is the rate, relative to the median of the service, above which no engine counts as slow. An engine is no longer
+	// slow at a rate that is higher than the limit by returnMargin: engines that change their class lose their cached prefixes.
+	maxSlowRatio = 0.85
+	returnMargin = 0.07
 	// slowFor is how long a rate has to be beyond its ratio before the engine moves.
 	slowFor = 3 * time.Second
 	// slowInterval is how often the rates are compared.
@@ -47,6 +47,17 @@
 	return len(svc.gapTargets) > 1
 }
 
+// slowRatio returns the rate, relative to the median of the service, below which an engine is slow: its events during prefill come later than
+// the lowest gap target, which usual engines meet. Where usual engines miss that target, or slow ones meet it, it does not help to keep
+// calls from slow engines, and they are needed.
+func (svc *service) slowRatio() float64 {
+	_, gap := svc.speed.get()
+	if tgt := svc.gapTargets[0]; gap <= tgt {
+		return min(maxSlowRatio, float64(gap)/float64(tgt))
+	}
+	return 0
+}
+
 // updateSlow compares the rates of the engines with their median and returns which engines became slow or are no longer.
 func (svc *service) updateSlow(par *partition, now time.Time) (chgs []SpeedChange) {
 	if !svc.separatesSlow() || now.Sub(svc.slowUpdated) < slowInterval {
@@ -72,6 +83,7 @@
 		return nil
 	}
 	svc.speed.setMedian(mid)
+	ratio := svc.slowRatio()
 	for cls, engs := range par.classes {
 		// The calls of a class may make all of its engines seem slow; that is no reason to move them.
 		limit := mid
@@ -79,7 +91,7 @@
 			limit = min(mid, medians[cls])
 		}
 		for _, eng := range engs {
-			if slow, rate, changed := eng.load.updateSlow(slowRatio*limit, usualRatio*mid, now); changed {
+			if slow, rate, changed := eng.load.updateSlow(ratio*limit, (ratio+returnMargin)*mid, now); changed {
 				chgs = append(chgs, SpeedChange{Service: eng.Service, Instance: eng.Instance, Slow: slow, Rate: rate, Median: mid})
 			}
 		}
--- a/internal/router/place/slow_test.go
+++ b/internal/router/place/slow_test.go
@@ -95,7 +95,7 @@
 			lod, now := &load{}, time.Unix(1000, 0)
 			for _, rate := range cas.rates {
 				lod.rate.fleet = average{value: rate, count: minSlowCount}
-				lod.updateSlow(slowRatio*60, usualRatio*60, now)
+				lod.updateSlow(maxSlowRatio*60, (maxSlowRatio+returnMargin)*60, now)
 				now = now.Add(time.Second)
 			}
 			if lod.slow != cas.want {
@@ -141,3 +141,28 @@
 		mod.run(6*time.Second, 22, mod.kinds()...)
 	}
 }
+
+// TestSlowRatioFollowsGapTargets guards against keeping calls from engines that meet the gap targets of all calls, and from engines that
+// are no worse for them than usual ones.
+func TestSlowRatioFollowsGapTargets(t *testing.T) {
+	cases := map[string]struct {
+		gap, target time.Duration
+		want        float64
+	}{
+		"slow engines miss the target":        {150 * time.Millisecond, 250 * time.Millisecond, 0.6},
+		"only very slow engines miss it":      {50 * time.Millisecond, 200 * time.Millisecond, 0.25},
+		"engines a little slower miss it":     {190 * time.Millisecond, 200 * time.Millisecond, maxSlowRatio},
+		"usual engines miss the target":       {150 * time.Millisecond, 120 * time.Millisecond, 0},
+		"no call of the service has a target": {150 * time.Millisecond, noGapTarget, 0},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			svc := newService("s")
+			svc.setGapTargets([]time.Duration{cas.target, time.Hour})
+			svc.speed.prefillGap = cas.gap
+			if got := svc.slowRatio(); got < cas.want-0.001 || got > cas.want+0.001 {
+				t.Errorf("ratio %.3f, want %.3f", got, cas.want)
+			}
+		})
+	}
+}
