Copy KV cache where that lowers the wait, and estimate by own rates first

A copy was made only if it was cheaper than prefilling with its price, so prefixes not used for 10 s were prefilled again.

--- a/internal/router/place/choose.go
+++ b/internal/router/place/choose.go
@@ -77,8 +77,9 @@
 	passedOver Passed
 	// room is the state of the engine's cache memory.
 	room room
-	// cost is in expected SLO misses.
-	cost float64
+	// cost is in expected SLO misses, and waiting the part of it that waiting and prefilling cause to callers. KV cache is copied if that lowers
+	// waiting, whatever prefilling the same tokens again would cost besides.
+	cost, waiting float64
 }
 
 // available returns the instances that are neither ejected nor to be avoided, or the ejected ones if there are no others.
--- a/internal/router/place/cost.go
+++ b/internal/router/place/cost.go
@@ -80,7 +80,7 @@
 	if pst.copyTokens-cached >= minCopyTokens {
 		opt = opt.copied(req, pst, snp, cached).withPrefill(req, snp)
 	}
-	if opt.source == nil || own.cost <= opt.cost {
+	if opt.source == nil || own.waiting <= opt.waiting {
 		opt = own
 	}
 	opt.cost += positionCost * float64(min(can.position, maxPosition))
@@ -95,7 +95,8 @@
 func (opt option) withPrefill(req Request, snp snapshot) option {
 	cost, rnk, late := snp.waitingCost(req, opt)
 	opt.rank, opt.late = rnk, late
-	opt.cost += cost + snp.interference(opt.prefillTokens)
+	opt.waiting = cost + snp.interference(opt.prefillTokens)
+	opt.cost += opt.waiting
 	return opt
 }
 
--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -91,11 +91,10 @@
 	mut sync.Mutex
 	// local is the work from this node, peers the work from all others.
 	local, peers InFlight
-	// prefillRate is the moving average of prompt tokens prefilled per millisecond, as this node observed it last at
-	// rateObservedAt; zero before the first observation.
-	prefillRate    float64
-	rateObservedAt time.Time
-	rate           engineRate
+	// prefillRate is the moving average of prompt tokens prefilled per millisecond, as this node observed it; zero before the first
+	// observation.
+	prefillRate float64
+	rate        engineRate
 	// slow is set if the engine is slower than others of its service; offSince is when its rate began to say otherwise.
 	slow     bool
 	offSince time.Time
--- a/internal/router/place/rates.go
+++ b/internal/router/place/rates.go
@@ -98,11 +98,11 @@
 	spd.median = rate
 }
 
-// rateAt returns the prefill rate of the engine: what this node observed lately, else what the fleet learned, else what
-// this node observed at any time, else a default. The caller holds the lock.
+// rateAt returns the prefill rate of the engine: what this node observed, else what the fleet learned, else a default. Own observations
+// include the work of other nodes that this one does not know of. The caller holds the lock.
 func (lod *load) rateAt(now time.Time) (rate float64) {
 	switch {
-	case lod.rate.reports > 0 && (lod.prefillRate == 0 || now.Sub(lod.rateObservedAt) > rateAge):
+	case lod.rate.reports > 0 && lod.prefillRate == 0:
 		return lod.rate.fleet.value
 	case lod.prefillRate == 0:
 		return defaultRate
@@ -130,7 +130,6 @@
 	}
 	lod.prefillRate = lod.rateAt(now)
 	lod.prefillRate += rateWeight * (rate - lod.prefillRate)
-	lod.rateObservedAt = now
 	if rsv.service != nil {
 		rsv.service.speed.observeRate(rate)
 	}
