Close the connection of a body that is refused for lack of memory

After a refusal net/http reads up to 256 KiB of the rest of the body before it closes the connection. The refusals for lack of memory removed the deadline of reads first, so the connection of a caller that stopped short of the end of its body stayed open after its 408 or 503 for as long as the caller liked. The rest is now read for 500 ms. TestMemoryShort waits for the end of the connection; it failed after 5 s before the change and passes with it.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -27,6 +27,9 @@
 	bodyTimeout = 30 * time.Second
 	// shedRetryAfter is the Retry-After of requests that are refused because memory is short.
 	shedRetryAfter = time.Second
+	// refusedBodyTime is how long the rest of a body is read after its request was refused because memory is short. Without it, the
+	// close of the connection could reset it before the caller has read the refusal.
+	refusedBodyTime = 500 * time.Millisecond
 )
 
 const (
@@ -229,7 +232,9 @@
 	}
 	han.meter.Event("refused_" + ref.Code)
 	if ref.Code == router.CodeMemory {
-		// These are counted and logged by package intake, at a bounded rate.
+		// These are counted and logged by package intake, at a bounded rate. net/http reads up to 256 KiB of the rest of the body
+		// before it closes the connection.
+		_ = http.NewResponseController(wri).SetReadDeadline(han.timers.Now().Add(refusedBodyTime))
 		send.WriteRefusal(wri, ref)
 		return
 	}
--- a/internal/router/edge/intake_test.go
+++ b/internal/router/edge/intake_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +18,7 @@
 )
 
 // TestMemoryShort guards against a request that is refused for lack of memory although it was sent to an upstream, against a refusal
-// without Retry-After, and against reading on from a connection whose body was not read. Another request holds all memory.
+// without Retry-After, and against reading on from a connection whose body was not read, which stays open then. Another request holds all memory.
 func TestMemoryShort(t *testing.T) {
 	const (
 		bound   = 1 << 20
@@ -71,6 +73,13 @@
 			if got := len(scr.Requests()); got != cas.requests {
 				t.Errorf("%d requests reached the upstream, want %d", got, cas.requests)
 			}
+			if !refused {
+				return
+			}
+			_ = soc.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if _, err := rea.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection stays open after the refusal")
+			}
 		})
 	}
 }
