Keep requests that have arrived whole from late aborts

At the end of a body net/http removes the deadline of reads and reads on, to notice that the caller leaves. An abort for lack of memory, or by the stop of the node, that came in the instant between the last byte and the end of readBody set the deadline to now. This ended that read, cancelled the request and closed its connection, also after the request had been sent to an upstream. The abort now has no effect once the deadline was removed, under one lock. TestAbortAfterBody aborts a request at the end of its body: its connection was closed before the change, and it is answered with it.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -185,7 +185,11 @@
 	// The wait for memory ends with the time for the body, and when the node stops.
 	ctx, cancel := context.WithTimeout(req.Context(), end.Sub(han.timers.Now()))
 	defer cancel()
-	interrupt, done := intake.Guard(func() { _ = ctl.SetReadDeadline(han.timers.Now()) })
+	interrupt, done := intake.Guard(func() {
+		if !intake.InterruptBody(req.Context()) {
+			_ = ctl.SetReadDeadline(han.timers.Now())
+		}
+	})
 	defer done()
 	defer context.AfterFunc(stopped, func() { interrupt(); cancel() })()
 	hol := han.memory.Open(intake.Request, req.ContentLength, interrupt)
--- /dev/null
+++ b/internal/router/edge/late_test.go
@@ -0,0 +1,70 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/intake"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+)
+
+// lateBody calls a function between the end of a body and its return to the reader.
+type lateBody struct {
+	io.ReadCloser
+	atEnd func()
+}
+
+func (bod lateBody) Read(buf []byte) (num int, err error) {
+	num, err = bod.ReadCloser.Read(buf)
+	if err == io.EOF {
+		bod.atEnd()
+	}
+	return num, err
+}
+
+// TestAbortAfterBody guards against an abort for lack of memory that comes after the last byte of a body: it closed the connection
+// of a request that had arrived whole, and might have been sent to an upstream.
+func TestAbortAfterBody(t *testing.T) {
+	const bound = 1 << 20
+	scr := fakes.NewScriptedServer(t, answer)
+	tsn := startNode(t, scr.Address, manifest)
+	aborted := make(chan string, 10)
+	bud := intake.New(intake.Options{Timers: timer.Real{}, MemoryBytes: 3 * bound, OnRefuse: func(rsn string) { aborted <- rsn }})
+	tsn.handler.memory = bud
+	soc, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lis := intake.NewListener(soc, bud)
+	han := http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		req.Body = lateBody{ReadCloser: req.Body, atEnd: func() {
+			go func() { _ = bud.Open(intake.Answer, -1, func() {}).Grow(t.Context(), bound) }()
+			<-aborted
+			// net/http notices the end of its read on a goroutine of its own.
+			time.Sleep(50 * time.Millisecond)
+		}}
+		tsn.handler.ServeHTTP(wri, req)
+	})
+	srv := &http.Server{Handler: han, ConnState: lis.Observe, ConnContext: intake.Context}
+	go func() { _ = srv.Serve(lis) }()
+	defer func() { _ = srv.Close() }()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+soc.Addr().String()+"/plain/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header = http.Header{"Stand-Id": {"r1"}, "Stand-Key": {"key"}, "Stand-Left": {"20000"}}
+	rsp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = rsp.Body.Close()
+	if rsp.StatusCode != http.StatusOK || len(scr.Requests()) != 1 {
+		t.Errorf("status %d, %d requests", rsp.StatusCode, len(scr.Requests()))
+	}
+}
--- a/internal/router/intake/conn.go
+++ b/internal/router/intake/conn.go
@@ -22,6 +22,10 @@
 	listener *Listener
 	closing  sync.Once
 
+	deadline sync.Mutex
+	// bounded is set while reads have a deadline.
+	bounded bool
+
 	// All below is guarded by the lock of the listener.
 
 	// since is when the connection was opened or its last request ended, and complete is set while it has a complete request.
@@ -104,6 +108,24 @@
 	return con.Conn.Close()
 }
 
+// SetReadDeadline sets the deadline of reads; zero is none.
+func (con *Conn) SetReadDeadline(end time.Time) (err error) {
+	con.deadline.Lock()
+	defer con.deadline.Unlock()
+	con.bounded = !end.IsZero()
+	return con.Conn.SetReadDeadline(end)
+}
+
+// interruptRead ends reads if they have a deadline. net/http removes it at the end of a body, and reads on to notice that the
+// caller leaves; an interrupt of that read would cancel a request that has arrived whole.
+func (con *Conn) interruptRead() {
+	con.deadline.Lock()
+	defer con.deadline.Unlock()
+	if con.bounded {
+		_ = con.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection whose caller may still send.
 func (con *Conn) CloseWrite() (err error) {
 	if soc, ok := con.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/router/intake/listener.go
+++ b/internal/router/intake/listener.go
@@ -167,6 +167,16 @@
 	return context.WithValue(ctx, connKey{}, con)
 }
 
+// InterruptBody ends the reading of the body of the request with the context, unless it was read to its end. The body must have
+// a deadline. It reports whether the connection of the request is one of a Listener.
+func InterruptBody(ctx context.Context) (known bool) {
+	con, known := ctx.Value(connKey{}).(*Conn)
+	if known {
+		con.interruptRead()
+	}
+	return known
+}
+
 // Complete notes that the request with the context has arrived whole, so that its connection is not closed for another.
 func Complete(ctx context.Context) {
 	con, ok := ctx.Value(connKey{}).(*Conn)
