Do not close connections whose request became complete

A connection was chosen to be closed, for another one, for its late header or for its header's memory, under a lock, and closed after it. In between its request could become complete and be sent to an upstream, which then worked for a closed connection. The choice now removes the connection from the listener, Complete reports that it was chosen, and the handler does not send such a request; the abort of a header does nothing once the header is complete.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -100,7 +100,9 @@
 		job, ref = han.admit(cal, wri, req)
 		if ref == nil {
 			defer job.ReleaseBody()
-			intake.Complete(req.Context())
+			if !intake.Complete(req.Context()) {
+				panic(http.ErrAbortHandler)
+			}
 			rep := han.sender.Serve(req.Context(), job, wri)
 			han.logReport(job, rep)
 			if rep.CallerLeft {
--- a/internal/router/intake/conn.go
+++ b/internal/router/intake/conn.go
@@ -63,6 +63,20 @@
 	return num, err
 }
 
+// abortHeader closes the connection, unless the header has become complete since that was decided.
+func (con *Conn) abortHeader() {
+	lis := con.listener
+	lis.mut.Lock()
+	active := con.active
+	if !active {
+		delete(lis.conns, con)
+	}
+	lis.mut.Unlock()
+	if !active {
+		_ = con.Close()
+	}
+}
+
 // readError returns an error that net/http takes for a failed connection, which gets no answer.
 func (con *Conn) readError(err error) error {
 	return &net.OpError{Op: "read", Net: "tcp", Addr: con.RemoteAddr(), Err: err}
@@ -77,7 +91,7 @@
 		return nil, false
 	}
 	if con.header == nil {
-		con.header = lis.budget.Open(Request, -1, func() { _ = con.Close() })
+		con.header = lis.budget.Open(Request, -1, con.abortHeader)
 	}
 	if con.begun.IsZero() {
 		con.begun = lis.options.Timers.Now()
--- a/internal/router/intake/listener.go
+++ b/internal/router/intake/listener.go
@@ -97,6 +97,8 @@
 				old = one
 			}
 		}
+		// A connection that was chosen gets no complete request any more, see Complete.
+		delete(lis.conns, old)
 	}
 	if !full || old != nil {
 		lis.conns[con] = true
@@ -126,6 +128,7 @@
 	for con := range lis.conns {
 		if !con.begun.IsZero() && now.Sub(con.begun) >= headerTime {
 			late = append(late, con)
+			delete(lis.conns, con)
 		}
 	}
 	lis.mut.Unlock()
@@ -177,13 +180,15 @@
 	return known
 }
 
-// Complete notes that the request with the context has arrived whole, so that its connection is not closed for another.
-func Complete(ctx context.Context) {
+// Complete notes that the request with the context has arrived whole, so that its connection is not closed for another. It
+// reports false if that was decided before; the request must not be sent then.
+func Complete(ctx context.Context) (open bool) {
 	con, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
-		return
+		return true
 	}
 	con.listener.mut.Lock()
 	defer con.listener.mut.Unlock()
-	con.complete = true
+	con.complete = con.listener.conns[con]
+	return con.complete
 }
--- a/internal/router/intake/listener_test.go
+++ b/internal/router/intake/listener_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -133,3 +134,71 @@
 		t.Errorf("a header above the bound: error %v, %d connections open", err, lis.Open())
 	}
 }
+
+// TestLateClose guards against closing a connection whose request became complete after the close was decided: the request might
+// have been sent to an upstream.
+func TestLateClose(t *testing.T) {
+	cases := map[string]func(lis *Listener, con *Conn) (closing func()){
+		"for another connection": func(lis *Listener, _ *Conn) func() {
+			return func() {
+				for range minConns {
+					soc, far := net.Pipe()
+					defer func() { _, _ = soc.Close(), far.Close() }()
+					lis.admit(soc)
+				}
+			}
+		},
+		"header late": func(lis *Listener, con *Conn) func() {
+			con.begun = con.begun.Add(-headerTime)
+			return func() { lis.sweep(lis.options.Timers.Now()) }
+		},
+		"memory short": func(_ *Listener, con *Conn) func() { return con.header.abort },
+	}
+	for name, decide := range cases {
+		for _, before := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, complete before %t", name, before), func(t *testing.T) {
+				man := timer.NewManual(time.Unix(1000, 0))
+				bud := New(Options{Timers: man, MemoryBytes: mib, OnRefuse: func(string) {}})
+				lis := NewListener(nil, bud)
+				defer lis.stop()
+				soc, far := net.Pipe()
+				defer func() { _ = far.Close() }()
+				con := lis.admit(&closingConn{Conn: soc})
+				ctx := Context(t.Context(), con)
+				readHeader(con, far, "GET")
+				man.Advance(time.Second)
+				closing := decide(lis, con)
+				complete := func() bool {
+					lis.Observe(con, http.StateActive)
+					return Complete(ctx)
+				}
+				one := con.Conn.(*closingConn)
+				sent := false
+				if before {
+					sent = complete()
+				} else {
+					one.onClose = func() { sent = complete() }
+				}
+				closing()
+				if sent != before || one.closed == before {
+					t.Errorf("sent %t, closed %t", sent, one.closed)
+				}
+			})
+		}
+	}
+}
+
+// closingConn calls a function when it is closed.
+type closingConn struct {
+	net.Conn
+	onClose func()
+	closed  bool
+}
+
+func (con *closingConn) Close() (err error) {
+	con.closed = true
+	if con.onClose != nil {
+		con.onClose()
+	}
+	return con.Conn.Close()
+}
