Do not abandon all requests after a pause of the process

The first check after a pause, as of a frozen machine, found that no request had made progress for 2 s and abandoned all of them at once while one waited, before what had arrived meanwhile could be read. The design says that they are shed one at a time then. The time by which a check is late is now left out of the ages. TestCheckAfterPause abandoned the request in the first check before the change.

--- a/internal/router/intake/budget.go
+++ b/internal/router/intake/budget.go
@@ -69,6 +69,8 @@
 	queue []*Hold
 	// granted is when memory was last granted, or when the first in an empty queue began to wait.
 	granted time.Time
+	// checked is when the requests were last checked.
+	checked time.Time
 	stop    func()
 }
 
@@ -168,6 +170,7 @@
 	hol.want, hol.answer = num, make(chan error, 1)
 	if len(bud.queue) == 0 {
 		bud.granted = bud.options.Timers.Now()
+		bud.checked = bud.granted
 		bud.stop = bud.options.Timers.Every(checkInterval, bud.check)
 	}
 	bud.queue = append(bud.queue, hol)
--- a/internal/router/intake/budget_test.go
+++ b/internal/router/intake/budget_test.go
@@ -147,6 +147,28 @@
 	}
 }
 
+// TestCheckAfterPause guards against abandoning all requests at once when a process goes on that did not run for longer than
+// stallTime: it could read nothing meanwhile.
+func TestCheckAfterPause(t *testing.T) {
+	man := timer.NewManual(time.Unix(1000, 0))
+	bud := New(Options{Timers: man, MemoryBytes: 48 * mib, OnRefuse: func(string) {}})
+	hol := bud.Open(Request, 12*mib, func() {})
+	hol.Take(12 * mib)
+	other := bud.Open(Request, 4*mib, func() {})
+	res := make(chan error, 1)
+	go func() { res <- other.Grow(t.Context(), 4*mib) }()
+	isSettled(bud, res, 1)
+	now := man.Now().Add(time.Minute)
+	bud.check(now)
+	if err := hol.Err(); err != nil {
+		t.Errorf("%s in the first check after the pause", err)
+	}
+	hol.Release()
+	if err := <-res; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestRead guards against a buffer that is larger than what is counted, or grows with the announced length rather than with the
 // bytes that arrive, and against a body without progress that is held when its time is over.
 func TestRead(t *testing.T) {
--- a/internal/router/intake/shed.go
+++ b/internal/router/intake/shed.go
@@ -8,6 +8,7 @@
 	var reasons []string
 	bud.mut.Lock()
 	if len(bud.queue) > 0 {
+		bud.skipPause(now)
 		for hol := range bud.holds {
 			if hol.watched && hol.err == nil && hol.answer == nil && now.Sub(hol.last) >= stallTime {
 				aborts, reasons = append(aborts, bud.end(hol, ErrStalled)), append(reasons, ReasonStalled)
@@ -26,6 +27,20 @@
 	}
 }
 
+// skipPause leaves the time out by which a check is late: the process did not run, so no caller could make progress. What has
+// arrived meanwhile is read after the check.
+func (bud *Budget) skipPause(now time.Time) {
+	pause := now.Sub(bud.checked) - checkInterval
+	bud.checked = now
+	if pause <= 0 {
+		return
+	}
+	for hol := range bud.holds {
+		hol.last = hol.last.Add(min(pause, max(0, now.Sub(hol.last))))
+	}
+	bud.granted = bud.granted.Add(min(pause, max(0, now.Sub(bud.granted))))
+}
+
 // leastProgress returns the incomplete request whose last byte is the oldest, among equals the largest; nil if there is none.
 func (bud *Budget) leastProgress() (res *Hold) {
 	for hol := range bud.holds {
