--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -27,6 +27,9 @@
 	bodyTimeout = 30 * time.Second
 	// shedRetryAfter is the Retry-After of requests that are refused because memory is short.
 	shedRetryAfter = time.Second
+	// refusedBodyTime is how long the rest of a body is read after its request was refused because memory is short. Without it, the
+	// close of the connection could reset it before the caller has read the refusal.
+	refusedBodyTime = 500 * time.Millisecond
 )
 
 const (
@@ -105,7 +108,9 @@
 		job, ref = han.admit(cal, wri, req)
 		if ref == nil {
 			defer job.ReleaseBody()
-			intake.Complete(req.Context())
+			if !intake.Complete(req.Context()) {
+				panic(http.ErrAbortHandler)
+			}
 			rep := han.sender.Serve(req.Context(), job, wri)
 			han.logReport(job, rep)
 			if rep.CallerLeft {
@@ -190,7 +195,11 @@
 	// The wait for memory ends with the time for the body, and when the node stops.
 	ctx, cancel := context.WithTimeout(req.Context(), end.Sub(han.timers.Now()))
 	defer cancel()
-	interrupt, done := intake.Guard(func() { _ = ctl.SetReadDeadline(han.timers.Now()) })
+	interrupt, done := intake.Guard(func() {
+		if !intake.InterruptBody(req.Context()) {
+			_ = ctl.SetReadDeadline(han.timers.Now())
+		}
+	})
 	defer done()
 	defer context.AfterFunc(stopped, func() { interrupt(); cancel() })()
 	hol := han.memory.Open(intake.Request, req.ContentLength, interrupt)
@@ -237,7 +246,9 @@
 	}
 	han.meter.Event("refused_" + ref.Code)
 	if ref.Code == router.CodeMemory {
-		// These are counted and logged by package intake, at a bounded rate.
+		// These are counted and logged by package intake, at a bounded rate. net/http reads up to 256 KiB of the rest of the body
+		// before it closes the connection.
+		_ = http.NewResponseController(wri).SetReadDeadline(han.timers.Now().Add(refusedBodyTime))
 		send.WriteRefusal(wri, ref)
 		return
 	}
--- a/internal/router/intake/listener.go
+++ b/internal/router/intake/listener.go
@@ -97,6 +97,8 @@
 				old = one
 			}
 		}
+		// A connection that was chosen gets no complete request any more, see Complete.
+		delete(lis.conns, old)
 	}
 	if !full || old != nil {
 		lis.conns[con] = true
@@ -126,6 +128,7 @@
 	for con := range lis.conns {
 		if !con.begun.IsZero() && now.Sub(con.begun) >= headerTime {
 			late = append(late, con)
+			delete(lis.conns, con)
 		}
 	}
 	lis.mut.Unlock()
@@ -167,13 +170,25 @@
 	return context.WithValue(ctx, connKey{}, con)
 }
 
-// Complete notes that the request with the context has arrived whole, so that its connection is not closed for another.
-func Complete(ctx context.Context) {
+// InterruptBody ends the reading of the body of the request with the context, unless it was read to its end. The body must have
+// a deadline. It reports whether the connection of the request is one of a Listener.
+func InterruptBody(ctx context.Context) (known bool) {
+	con, known := ctx.Value(connKey{}).(*Conn)
+	if known {
+		con.interruptRead()
+	}
+	return known
+}
+
+// Complete notes that the request with the context has arrived whole, so that its connection is not closed for another. It
+// reports false if that was decided before; the request must not be sent then.
+func Complete(ctx context.Context) (open bool) {
 	con, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
-		return
+		return true
 	}
 	con.listener.mut.Lock()
 	defer con.listener.mut.Unlock()
-	con.complete = true
+	con.complete = con.listener.conns[con]
+	return con.complete
 }
