Check the duty rules in the soak

Each node gets settings for usage reports, with the address of the stand-in behind a proxy of its own. Five new faults meet the node that made the last duty call: pause, kill, stop, a cut or slow path to the store, and one to the duty address. At the end a broken rule is a violation, and so is the lack of a correct usage report after recovery.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -23,7 +23,7 @@
 	{"Pause", func(har *harness) func() {
 		nod := har.randomNode()
 		nod.signal(syscall.SIGSTOP)
-		return func() { nod.signal(syscall.SIGCONT) }
+		return func() { har.thaw(nod) }
 	}},
 	{"Kill", func(har *harness) func() {
 		nod := har.randomNode()
@@ -41,9 +41,9 @@
 		return nil
 	}},
 	{"StorePath", func(har *harness) func() {
-		prx := har.randomNode().store
-		prx.SetMode(har.randomMode())
-		return func() { prx.SetMode(Pass) }
+		nod, mod := har.randomNode(), har.randomMode()
+		nod.store.SetMode(mod)
+		return func() { har.recoverLink(nod, nod.store, mod) }
 	}},
 	{"UpstreamPath", func(har *harness) func() {
 		prx := har.upstreams[har.rnd.IntN(len(har.upstreams))].proxy
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -27,6 +27,8 @@
 	logFile  string
 	// store is the proxy through which the node connects to the store.
 	store *Proxy
+	// duties is the proxy through which the node makes its duty calls.
+	duties *Proxy
 
 	mut sync.Mutex
 	cmd *exec.Cmd
@@ -35,7 +37,7 @@
 }
 
 // newNode returns a node that is not started yet, and writes its settings.
-func newNode(opt Options, num int, store *Proxy) (nod *node, err error) {
+func newNode(opt Options, num int, store, duties *Proxy) (nod *node, err error) {
 	defer errs.Annotatef(&err, "prepare node %d", num)
 	adrs, err := freeAddresses(opt.Seed, num)
 	if err != nil {
@@ -43,7 +45,7 @@
 	}
 	name := fmt.Sprintf("n-%d", num)
 	nod = &node{
-		name: name, listen: adrs[0], binary: opt.Binary, store: store,
+		name: name, listen: adrs[0], binary: opt.Binary, store: store, duties: duties,
 		settings: filepath.Join(opt.Dir, name+".yaml"), logFile: filepath.Join(opt.Dir, name+".log"),
 	}
 	txt := fmt.Sprintf(`Name: %s
@@ -60,7 +62,7 @@
   Grace: %s
   RetryShare: 0.2
   RetryReserve: 100
-`, name, adrs[0], adrs[1], store.Address(), adrs[2], gracePeriod)
+%s`, name, adrs[0], adrs[1], store.Address(), adrs[2], gracePeriod, dutySettings(duties.Address()))
 	return nod, os.WriteFile(nod.settings, []byte(txt), 0o600)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -67,6 +67,9 @@
 	// Answered counts requests with a complete answer of status 200, Refused those with status 503,
 	// which promises that the request was not executed, and Unknown all others.
 	Answered, Refused, Unknown int
+	// Reports counts the windows with an accepted usage report, Calm those that lie in the time after recovery, and Correct the
+	// ones of Calm whose counts match the executions.
+	Reports, Calm, Correct int
 	// Faults counts the injected faults by kind.
 	Faults map[string]int
 	// Broken describes each violation of a guarantee.
@@ -78,6 +81,7 @@
 	options   Options
 	rnd       *rand.Rand
 	store     *mock.Store
+	duties    *mock.Duties
 	upstreams []*upstream
 	nodes     []*node
 	callers   *callers
@@ -118,18 +122,24 @@
 	}
 	har.callers = newCallers(har, opt.Callers)
 	har.callers.start(ctx)
+	har.awaitDuties(ctx)
 	har.activeFaults.Go(func() { har.restoreStore(ctx) })
+	har.activeFaults.Go(func() { har.injectDutyFaults(ctx) })
 	har.injectFaults(ctx)
 	har.activeFaults.Wait()
 	timer.Sleep(ctx, recoveryTime)
 	har.callers.markFaultsEnded()
+	calm := time.Now()
 	timer.Sleep(ctx, calmTime)
 	har.checkDrain(ctx)
 	har.checkConfig(ctx)
 	har.checkRateLimit(ctx)
+	stopped := time.Now()
 	har.callers.stop()
 	har.callers.check()
-	return har.report(), nil
+	rep = har.report()
+	har.checkDuties(&rep, calm, stopped)
+	return rep, nil
 }
 
 func (har *harness) report() Report {
@@ -173,6 +183,12 @@
 		return stop, err
 	}
 	stops = append(stops, end)
+	har.duties = mock.NewDuties(fakes.NewInjector(har.options.Seed), dutyRules)
+	dutyAddress, end, err := serveLocal(har.duties.Handler())
+	if err != nil {
+		return stop, err
+	}
+	stops = append(stops, end)
 	har.publishConfig(true)
 	for num := range har.options.Upstreams {
 		ups := &upstream{Upstream: mock.NewUpstream(fmt.Sprintf("u-%d", num)), born: 1}
@@ -194,7 +210,12 @@
 			return stop, err
 		}
 		stops = append(stops, prx.Close)
-		nod, err := newNode(har.options, num, prx)
+		dut, err := NewProxy(dutyAddress)
+		if err != nil {
+			return stop, err
+		}
+		stops = append(stops, dut.Close)
+		nod, err := newNode(har.options, num, prx, dut)
 		if err != nil {
 			return stop, err
 		}
