List the windows of wrong usage reports in order

A violation listed the reported windows in the random order of a map, so that two neighbouring windows could not be compared.

The check sorts them by window.

--- a/internal/soak/duties.go
+++ b/internal/soak/duties.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -144,7 +146,8 @@
 	reports := har.duties.Reports()
 	rep.Reports = len(reports)
 	seen := ""
-	for win, counts := range reports {
+	for _, win := range slices.Sorted(maps.Keys(reports)) {
+		counts := reports[win]
 		begin := time.UnixMilli(win * dutyWindow.Milliseconds())
 		end := begin.Add(dutyWindow)
 		if begin.Before(from) || end.After(until) {
