--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -172,20 +172,36 @@
 	Kinds []string
 	// CallsPerSecond is the maximum rate of the calls of all nodes together.
 	CallsPerSecond float64
-	// Lease is how long a node holds the duties without renewing its lease.
-	Lease time.Duration
-	// Thaw is how long after the thaw of a node its calls may still arrive.
-	Thaw time.Duration
-	// Window is the length of a usage window.
-	Window time.Duration
-	// ReportWithin is how long after the end of its window a usage report is due.
-	ReportWithin time.Duration
+	// LeaseMilliseconds is how long a node holds the duties without renewing its lease. The times are plain numbers, so that a template
+	// can leave them empty where there are no duties.
+	LeaseMilliseconds float64
+	// ThawMilliseconds is how long after the thaw of a node its calls may still arrive.
+	ThawMilliseconds float64
+	// WindowSeconds is the length of a usage window.
+	WindowSeconds float64
+	// ReportWithinSeconds is how long after the end of its window a usage report is due.
+	ReportWithinSeconds float64
 	// Tolerance is the relative error up to which a usage count is right.
 	Tolerance float64
 	// FenceChecked is set if the platform rejects calls with a fencing token below one that it has seen.
 	FenceChecked bool
 }
 
+// Lease returns how long a node holds the duties without renewing its lease.
+func (dut Duties) Lease() time.Duration {
+	return time.Duration(dut.LeaseMilliseconds * float64(time.Millisecond))
+}
+
+// Window returns the length of a usage window.
+func (dut Duties) Window() time.Duration {
+	return time.Duration(dut.WindowSeconds * float64(time.Second))
+}
+
+// ReportWithin returns how long after the end of its window a usage report is due.
+func (dut Duties) ReportWithin() time.Duration {
+	return time.Duration(dut.ReportWithinSeconds * float64(time.Second))
+}
+
 // TLS names the files of the node's certificate, of its key and of the certificate authority of its peers.
 type TLS struct {
 	Certificate string
--- a/internal/conf/duties_test.go
+++ b/internal/conf/duties_test.go
@@ -26,22 +26,27 @@
 		// want holds the line and a part of each error.
 		want map[string]string
 	}{
-		"valid": {`    {Address: "127.0.0.1:5", Kinds: ["usage_reporting", "autoscaling"], CallsPerSecond: 20, Lease: 3000ms, Thaw: 300ms,
-     Window: 5s, ReportWithin: 10s, Tolerance: 0.05, FenceChecked: false}`, nil},
+		"valid": {`    {Address: "127.0.0.1:5", Kinds: ["usage_reporting", "autoscaling"], CallsPerSecond: 20, LeaseMilliseconds: 3000,
+     ThawMilliseconds: 300, WindowSeconds: 5, ReportWithinSeconds: 10, Tolerance: 0.05, FenceChecked: false}`, nil},
 		"disabled": {"    {Tolerance: 7}", nil},
+		"left empty by a template": {`    Address: ""
+    Kinds: []
+    CallsPerSecond:
+    LeaseMilliseconds:
+    FenceChecked:`, nil},
 		"all errors at once": {`    Address: nowhere
     Kinds: ["usage_reporting", "gardening"]
     CallsPerSecond: 0
-    Lease: 0s
-    Thaw: -1s
-    Window: 0s
-    ReportWithin: 900ms
+    LeaseMilliseconds: 1500
+    ThawMilliseconds: -1
+    WindowSeconds: 0
+    ReportWithinSeconds: 2.4
     Tolerance: 1.5`, map[string]string{
-			":9:": "Address", ":10:": `unknown kind "gardening"`, ":11:": "CallsPerSecond", ":12:": "Lease", ":13:": "Thaw", ":14:": "Window",
-			":15:": "900ms must be at least 1s", ":16:": "1.5 must be from 0 to 1",
+			":9:": "Address", ":10:": `unknown kind "gardening"`, ":11:": "CallsPerSecond", ":12:": "1500 must be above 1500", ":13:": "Thaw", ":14:": "Window",
+			":15:": "2.4 must be at least 2.5", ":16:": "1.5 must be from 0 to 1",
 		}},
 		"nothing but an address": {"    Address: \"127.0.0.1:5\"", map[string]string{
-			"CallsPerSecond": "above 0", "Lease": "above 0s", "Window": "above 0s", "ReportWithin": "at least 1s",
+			"CallsPerSecond": "above 0", "Lease": "above 1500", "Window": "above 0", "ReportWithin": "at least 1",
 		}},
 	}
 	for name, cas := range cases {
--- a/internal/router/edge/duties.go
+++ b/internal/router/edge/duties.go
@@ -48,7 +48,7 @@
 	}
 	les := duty.New(duty.Options{
 		Holder: opt.Settings.Name,
-		Length: set.Lease,
+		Length: set.Lease(),
 		Timers: opt.Timers,
 		Rows:   opt.Rows,
 		Rank:   func() int { return nod.mesh.RankByHash(duty.RankKey) },
@@ -70,8 +70,8 @@
 			Timers:       opt.Timers,
 			Log:          opt.Log,
 			Meter:        nod.meter,
-			Window:       set.Window,
-			ReportWithin: set.ReportWithin,
+			Window:       set.Window(),
+			ReportWithin: set.ReportWithin(),
 			Lease:        les,
 			Rows:         opt.Rows,
 			Caller:       opt.Duties,
--- a/internal/router/edge/duties_test.go
+++ b/internal/router/edge/duties_test.go
@@ -59,7 +59,7 @@
 			rws, cal := &dutyRows{}, &dutyCalls{}
 			nod := New(Options{
 				Settings: conf.Node{Name: "node", FailureDomain: "here", Platform: conf.Platform{
-					Duties: conf.Duties{Address: cas.address, Lease: time.Hour},
+					Duties: conf.Duties{Address: cas.address, LeaseMilliseconds: 3.6e6},
 				}},
 				Timers: tms, Log: slog.New(slog.DiscardHandler), Source: fakes.NewRecordStore(), Codec: fakes.Codec{}, Dialect: fakes.Dialect{},
 				Rows: rws, Duties: cal,
--- a/internal/soak/duties.go
+++ b/internal/soak/duties.go
@@ -71,12 +71,12 @@
     Address: %s
     Kinds: [usage_reporting]
     CallsPerSecond: %d
-    Lease: %s
-    Thaw: %s
-    Window: %s
-    ReportWithin: %s
+    LeaseMilliseconds: %d
+    ThawMilliseconds: %d
+    WindowSeconds: %g
+    ReportWithinSeconds: %g
     Tolerance: %g
-`, address, dutyRate, dutyLease, dutyThaw, dutyWindow, reportWithin, usageTolerance)
+`, address, dutyRate, dutyLease.Milliseconds(), dutyThaw.Milliseconds(), dutyWindow.Seconds(), reportWithin.Seconds(), usageTolerance)
 }
 
 // awaitDuties waits for the first duty call, so that there is a holder that the faults can meet.
