Limit the time in which a caller takes a refusal or the end of a stream

A caller that pipelines requests and reads nothing kept its connection for good: refusals and the end of a stream were written without a deadline, and a connection whose request is complete is never closed for another one. Such callers could take all connections of a node. The limit is that of other writes, 30 s without a byte; net/http removes it after each request. TestWritesEnd fails without it.

--- a/internal/router/edge/handler.go
+++ b/internal/router/edge/handler.go
@@ -245,6 +245,7 @@
 		id = cal.ID
 	}
 	han.meter.Event("refused_" + ref.Code)
+	send.LimitWrites(wri, han.timers)
 	if ref.Code == router.CodeMemory {
 		// These are counted and logged by package intake, at a bounded rate. net/http reads up to 256 KiB of the rest of the body
 		// before it closes the connection.
--- a/internal/router/edge/late_test.go
+++ b/internal/router/edge/late_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -68,3 +69,40 @@
 		t.Errorf("status %d, %d requests", rsp.StatusCode, len(scr.Requests()))
 	}
 }
+
+// deadlineWriter records the deadline of writes.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	end time.Time
+}
+
+func (wri *deadlineWriter) SetWriteDeadline(end time.Time) (err error) {
+	wri.end = end
+	return nil
+}
+
+// TestWritesEnd guards against a caller that reads nothing and keeps a connection for good: the node would wait in the write of a
+// refusal, or of the end of a stream.
+func TestWritesEnd(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\nContent-Length: 9\r\n\r\nid: 1\na\n\n"
+	cases := map[string]struct {
+		path, answer string
+		status       int
+	}{
+		"refused by the node":   {path: "/none/x", answer: answer, status: http.StatusNotFound},
+		"refused by the sender": {path: "/plain/x", answer: "no HTTP\r\n\r\n", status: http.StatusBadGateway},
+		"end of a stream":       {path: "/stream/x", answer: stream, status: http.StatusOK},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			tsn := startNode(t, fakes.NewScriptedServer(t, cas.answer).Address, manifest)
+			req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h"+cas.path, nil)
+			req.Header = http.Header{"Stand-Id": {"r1"}, "Stand-Key": {"key"}}
+			wri := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+			tsn.handler.ServeHTTP(wri, req)
+			if wri.Code != cas.status || wri.end.IsZero() {
+				t.Errorf("status %d, deadline of writes %s; want %d", wri.Code, wri.end, cas.status)
+			}
+		})
+	}
+}
--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -41,12 +41,18 @@
 	return ans
 }
 
-// close releases the memory, and removes the time limit of writes for the next answer on the connection.
+// LimitWrites limits the time in which the caller takes what is written next to unreadTimeout. net/http removes the limit at the
+// end of the request.
+func LimitWrites(wri http.ResponseWriter, tms router.Timers) {
+	_ = http.NewResponseController(wri).SetWriteDeadline(tms.Now().Add(unreadTimeout))
+}
+
+// close releases the memory, and limits the time for the end of the answer, which net/http writes.
 func (ans *answer) close() {
 	ans.hold.Release()
 	ans.done()
 	if ans.hold.Err() == nil {
-		_ = ans.control.SetWriteDeadline(time.Time{})
+		LimitWrites(ans.writer, ans.timers)
 	}
 }
 
@@ -58,7 +64,7 @@
 		if err := ans.hold.Err(); err != nil {
 			return err
 		}
-		_ = ans.control.SetWriteDeadline(ans.timers.Now().Add(unreadTimeout))
+		LimitWrites(ans.writer, ans.timers)
 		cut := min(writePiece, len(txt))
 		if _, err := ans.writer.Write(txt[:cut]); err != nil {
 			return err
--- a/internal/router/send/finish.go
+++ b/internal/router/send/finish.go
@@ -62,6 +62,7 @@
 }
 
 func (act *activeCall) refuse(ref *router.Refusal) Report {
+	LimitWrites(act.writer, act.sender.options.Timers)
 	WriteRefusal(act.writer, ref)
 	act.status = ref.Status
 	return act.report(ref.Outcome)
