Withdraw cuts without an answer, and count upstreams that came uncalled for

A cut without an answer made room for orders in the same failure domain before it had taken effect, so that the maximum was exceeded. It was repeated while more upstreams were needed. And an order for one upstream by a new holder, which had no answer, was repeated when twelve that the old holder had ordered served already: a cut from 12 to 1.

Change: upstreams whose cut has not taken effect count for the maximum. A cut without an answer is withdrawn if more are needed or there was a fault. An order for more is forgotten when more than ordered serve.

--- a/internal/router/scale/cloud_test.go
+++ b/internal/router/scale/cloud_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
@@ -31,6 +33,8 @@
 	orders    []string
 	// lowest is the lowest number of upstreams that served.
 	lowest int
+	// verify checks an order before it takes effect; nil for none.
+	verify func(grp Group, count int, refused bool)
 }
 
 type upstream struct {
@@ -43,6 +47,30 @@
 // Now returns the time of the manual clock and the time that orders took.
 func (cld *cloud) Now() time.Time { return cld.Manual.Now().Add(cld.lag) }
 
+// newCloud returns a platform without upstreams.
+func newCloud(load func(sec int) int) *cloud {
+	beg := time.Unix(1e9, 0)
+	return &cloud{Manual: timer.NewManual(beg), boot: spec.Boot, began: beg, load: load, fence: 1, refuse: make(map[Group]bool), lowest: 1 << 30}
+}
+
+// start starts a runner for the service and one without scaling.
+func (cld *cloud) start(spc *router.ScalingSpec, engine *router.EngineSpec) (stop func()) {
+	return Start(Options{
+		Timers: cld, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: noMetrics{}, Lease: cld, Duties: cld,
+		Services: func() map[string]router.ServiceSpec {
+			return map[string]router.ServiceSpec{"s": {Name: "s", Engine: engine, Scaling: spc}, "fixed": {Name: "fixed"}}
+		},
+		Instances: cld.instances, Demand: cld.demand,
+		Nodes: func() (heard, listed int) {
+			if cld.blind {
+				return 1, 60
+			}
+			return 59, 60
+		},
+		Regions: map[string]string{"a": "north", "b": "north", "c": "south"},
+	})
+}
+
 func (cld *cloud) second() int { return int(cld.Now().Sub(cld.began) / time.Second) }
 
 func (cld *cloud) Fence(time.Duration) (fen router.Fence, ok bool) {
@@ -57,6 +85,9 @@
 	grp := Group{FailureDomain: ord.FailureDomain, Spot: ord.Spot}
 	txt := fmt.Sprintf("%d %s %v %d", cld.second(), ord.FailureDomain, ord.Spot, ord.Count)
 	cld.lag += cld.slow
+	if cld.verify != nil {
+		cld.verify(grp, ord.Count, cld.refuse[grp])
+	}
 	if cld.refuse[grp] {
 		cld.orders = append(cld.orders, txt+" refused")
 		return router.ErrNoCapacity
--- a/internal/router/scale/memory.go
+++ b/internal/router/scale/memory.go
@@ -52,6 +52,8 @@
 type ordered struct {
 	count int
 	at    time.Time
+	// raised is set if the order was for more upstreams.
+	raised bool
 	// confirmed is set if the platform accepted it; otherwise it is sent again at retryAt.
 	confirmed bool
 	retryAt   time.Time
@@ -126,6 +128,12 @@
 	mem.tallies = mem.count(vew.Now, boot)
 	for grp, tly := range mem.tallies {
 		ord, known := mem.orders[grp]
+		if known && ord.raised && tly.serving > ord.count {
+			// More came than were ordered, for example those that another holder ordered. A repetition, or
+			// an order that builds on this count, would cut them.
+			delete(mem.orders, grp)
+			known = false
+		}
 		reclaimed := drained[grp] > 0 && (!known || tly.serving < ord.count)
 		if reclaimed {
 			// None are available there for some seconds, and those that were still booting are reclaimed as well.
@@ -348,7 +356,7 @@
 	grp := ord.Group()
 	switch old := mem.orders[grp]; {
 	case res == nil:
-		mem.orders[grp] = ordered{count: ord.Count, at: now, confirmed: true}
+		mem.orders[grp] = ordered{count: ord.Count, at: now, raised: ord.Count > ord.Before, confirmed: true}
 	case errors.Is(res, router.ErrNoCapacity):
 		mem.refused[grp] = now.Add(refusedPause)
 		mem.exchange = nil
@@ -357,9 +365,9 @@
 			delete(mem.orders, grp)
 		}
 	default:
-		cur := ordered{count: ord.Count, at: now, pause: minRetry}
+		cur := ordered{count: ord.Count, at: now, raised: ord.Count > ord.Before, pause: minRetry}
 		if !old.at.IsZero() && !old.confirmed && old.count == ord.Count {
-			cur.at, cur.pause = old.at, min(maxRetry, 2*old.pause)
+			cur.at, cur.raised, cur.pause = old.at, old.raised, min(maxRetry, 2*old.pause)
 		}
 		cur.retryAt = now.Add(cur.pause)
 		mem.orders[grp] = cur
--- a/internal/router/scale/plan.go
+++ b/internal/router/scale/plan.go
@@ -30,6 +30,8 @@
 	Demand Reason = "Demand"
 	// Repeated means that an order had no answer.
 	Repeated Reason = "Repeated"
+	// Withdrawn means that a cut had no answer and is not wanted any more.
+	Withdrawn Reason = "Withdrawn"
 	// Surplus means that fewer are needed.
 	Surplus Reason = "Surplus"
 	// CheaperKind means that a spot upstream is to replace a regular one.
@@ -157,10 +159,18 @@
 	return all
 }
 
-// repeat sends orders without an answer again.
+// repeat sends orders without an answer again, unless upstreams that returned since fill the failure domain. A cut is withdrawn instead
+// if more upstreams are needed by now or there was a fault.
 func (drf *draft) repeat() {
 	for grp, ord := range drf.mem.orders {
-		if !ord.confirmed && !drf.Now.Before(ord.retryAt) {
+		if ord.confirmed || drf.Now.Before(ord.retryAt) {
+			continue
+		}
+		serving := drf.mem.tallies[grp].serving
+		switch {
+		case ord.count < serving && (sum(drf.counted) < drf.needed || drf.Now.Sub(drf.mem.faultAt) < calmPeriod):
+			drf.counted[grp], drf.base[grp], drf.reasons[grp] = serving, serving, Withdrawn
+		case ord.count <= serving || drf.occupied(grp.FailureDomain) <= drf.Service.Scaling.Max:
 			drf.reasons[grp] = Repeated
 		}
 	}
@@ -270,7 +280,17 @@
 	if ord, fnd := drf.mem.orders[grp]; fnd && !ord.confirmed && drf.Now.Before(ord.retryAt) {
 		return false
 	}
-	return drf.inDomain(drf.base, grp.FailureDomain) < spc.Max
+	return drf.occupied(grp.FailureDomain) < spc.Max
+}
+
+// occupied returns the upstreams of a failure domain for its maximum: those that the platform is assumed to have, and those whose cut
+// has not taken effect.
+func (drf *draft) occupied(dom string) (num int) {
+	for _, spot := range []bool{false, true} {
+		grp := Group{FailureDomain: dom, Spot: spot}
+		num += max(drf.base[grp], drf.mem.tallies[grp].serving)
+	}
+	return num
 }
 
 // absorbs reports whether, with one more upstream in a group, the present demand can be served after the spot upstreams of any
--- a/internal/router/scale/scale_test.go
+++ b/internal/router/scale/scale_test.go
@@ -1,13 +1,10 @@
 package scale
 
 import (
-	"io"
-	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
-	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
 )
 
 // scenario is a load with faults, and what must hold.
@@ -194,8 +191,7 @@
 
 // play runs the scenario and checks it.
 func (scn scenario) play(t *testing.T) {
-	beg := time.Unix(1e9, 0)
-	cld := &cloud{Manual: timer.NewManual(beg), boot: spec.Boot, began: beg, load: scn.load, fence: 1, refuse: make(map[Group]bool), lowest: 1 << 30}
+	cld := newCloud(scn.load)
 	for _, grp := range allGroups {
 		cld.set(grp, scn.start[grp], 0)
 	}
@@ -205,20 +201,7 @@
 	if scn.plain {
 		spc.Prices, engine = nil, nil
 	}
-	stop := Start(Options{
-		Timers: cld, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: noMetrics{}, Lease: cld, Duties: cld,
-		Services: func() map[string]router.ServiceSpec {
-			return map[string]router.ServiceSpec{"s": {Name: "s", Engine: engine, Scaling: &spc}, "fixed": {Name: "fixed"}}
-		},
-		Instances: cld.instances, Demand: cld.demand,
-		Nodes: func() (heard, listed int) {
-			if cld.blind {
-				return 1, 60
-			}
-			return 59, 60
-		},
-		Regions: map[string]string{"a": "north", "b": "north", "c": "south"},
-	})
+	stop := cld.start(&spc, engine)
 	defer stop()
 	for sec := 1; sec <= scn.length; sec++ {
 		if fun := scn.events[sec]; fun != nil {
