--- a/internal/router/audit/audit_test.go
+++ b/internal/router/audit/audit_test.go
@@ -75,8 +75,9 @@
 	man.Services["s"].Scaling.Max = 5
 	man.Accounts = man.Accounts[1:]
 	man.Limits.BodyBytes = 7
-	var got []string
-	for _, dif := range Compare(old, man) {
+	dfs := Compare(old, man)
+	got := make([]string, 0, len(dfs))
+	for _, dif := range dfs {
 		txt := string(dif.Action) + " " + dif.Name
 		for _, fld := range dif.Fields {
 			txt += " " + fld.Field + " " + fld.Old + " " + fld.New
