--- a/internal/router/scale/random_test.go
+++ b/internal/router/scale/random_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,11 +15,10 @@
 // after a refusal, and cuts in the first minute, of too many upstreams, or below what the calls in flight need.
 func TestRandomFaults(t *testing.T) {
 	// In seed 352, an order of a new holder was repeated when the upstreams that the old one had ordered served already.
-	seeds := []uint64{352}
-	for seed := range uint64(60) {
-		seeds = append(seeds, seed)
-	}
-	for _, seed := range seeds {
+	for seed := range uint64(61) {
+		if seed == 60 {
+			seed = 352
+		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 1))
 			level, phase := 20+rnd.IntN(40), rnd.IntN(100)
@@ -95,16 +95,11 @@
 		if count >= now || cld.lost || cld.down {
 			return
 		}
-		cuts[grp.FailureDomain] = append(cuts[grp.FailureDomain], sec)
-		recent := 0
-		for _, at := range cuts[grp.FailureDomain] {
-			if sec-at < 5 {
-				recent++
-			}
-		}
+		recent := append(slices.DeleteFunc(cuts[grp.FailureDomain], func(at int) bool { return sec-at >= 5 }), sec)
+		cuts[grp.FailureDomain] = recent
 		left := cld.serving() - (now - count)
-		if sec < 60 || now-count > max(1, (both-count+now)/10) || recent > 2 || float64(cld.load(sec)) > 0.7*float64(10*left) {
-			t.Errorf("%d s: %v cut from %d to %d, the %d. cut in 5 s, %d left for %d calls", sec, grp, now, count, recent, left, cld.load(sec))
+		if sec < 60 || now-count > max(1, (both-count+now)/10) || len(recent) > 2 || float64(cld.load(sec)) > 0.7*float64(10*left) {
+			t.Errorf("%d s: %v cut from %d to %d, the %d. cut in 5 s, %d left for %d calls", sec, grp, now, count, len(recent), left, cld.load(sec))
 		}
 	}
 }
