--- a/internal/router/place/load.go
+++ b/internal/router/place/load.go
@@ -134,7 +134,7 @@
 	defer lod.mut.Unlock()
 	snp = snapshot{
 		InFlight:    lod.local,
-		prefillRate: lod.rateAt(now),
+		prefillRate: lod.rateAt(),
 		failureRate: lod.failureRate,
 		ejected:     now.Before(lod.ejectedUntil) || lod.probing,
 	}
--- a/internal/router/place/rates.go
+++ b/internal/router/place/rates.go
@@ -100,7 +100,7 @@
 
 // rateAt returns the prefill rate of the engine: what this node observed, else what the fleet learned, else a default. Own observations
 // include the work of other nodes that this one does not know of. The caller holds the lock.
-func (lod *load) rateAt(now time.Time) (rate float64) {
+func (lod *load) rateAt() (rate float64) {
 	switch {
 	case lod.rate.reports > 0 && lod.prefillRate == 0:
 		return lod.rate.fleet.value
@@ -128,7 +128,7 @@
 	if rsv.firstEventWork < minRateTokens {
 		return
 	}
-	lod.prefillRate = lod.rateAt(now)
+	lod.prefillRate = lod.rateAt()
 	lod.prefillRate += rateWeight * (rate - lod.prefillRate)
 	if rsv.service != nil {
 		rsv.service.speed.observeRate(rate)
--- a/internal/router/send/gone_test.go
+++ b/internal/router/send/gone_test.go
@@ -31,7 +31,7 @@
 		t.Run(name, func(t *testing.T) {
 			grd, stop := guard.New(timer.Real{}, send.MaxCrashes)
 			defer stop()
-			var scrs []*fakes.ScriptedServer
+			scrs := make([]*fakes.ScriptedServer, 0, cas.replaced+1)
 			for range cas.replaced {
 				scrs = append(scrs, fakes.NewScriptedServer(t, replaced, replaced))
 			}
