--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -80,6 +80,13 @@
 	return lod
 }
 
+// loadByID returns the load of an incarnation by the hash of its key, or nil.
+func (bal *Balancer) loadByID(id uint64) *load {
+	bal.mut.Lock()
+	defer bal.mut.Unlock()
+	return bal.byID[id]
+}
+
 // Eject stops sending calls to an unreachable incarnation for a backoff period.
 func (bal *Balancer) Eject(ins router.Instance) {
 	lod := bal.loadOf(ins)
@@ -91,9 +98,7 @@
 // EjectByPeer stops sending calls to an incarnation at whose address a peer found no listener, for peerEjection from then on. After that
 // one call probes it. The id is the hash of the incarnation's key.
 func (bal *Balancer) EjectByPeer(id uint64, age time.Duration) {
-	bal.mut.Lock()
-	lod := bal.byID[id]
-	bal.mut.Unlock()
+	lod := bal.loadByID(id)
 	if lod == nil {
 		return
 	}
@@ -124,9 +129,7 @@
 // LocalSlowdown returns the slowdown of an incarnation that this node's own streams show at present; zero means that no
 // stream had a recent event. The id is the hash of the incarnation's key.
 func (bal *Balancer) LocalSlowdown(id uint64) (slowdown float64) {
-	bal.mut.Lock()
-	lod := bal.byID[id]
-	bal.mut.Unlock()
+	lod := bal.loadByID(id)
 	if lod == nil {
 		return 0
 	}
@@ -137,9 +140,7 @@
 
 // SetPeerSlowdown records the slowdown that a peer reported, unless this node's own streams show a recent one.
 func (bal *Balancer) SetPeerSlowdown(id uint64, slowdown float64) {
-	bal.mut.Lock()
-	lod := bal.byID[id]
-	bal.mut.Unlock()
+	lod := bal.loadByID(id)
 	if lod == nil {
 		return
 	}
--- a/internal/router/place/rates.go
+++ b/internal/router/place/rates.go
@@ -144,9 +144,7 @@
 // LocalRate returns the prefill rate of an incarnation in tokens per millisecond, as this node observed it in the last
 // seconds; zero if it observed none. The id is the hash of the incarnation's key.
 func (bal *Balancer) LocalRate(id uint64) (rate float64) {
-	bal.mut.Lock()
-	lod := bal.byID[id]
-	bal.mut.Unlock()
+	lod := bal.loadByID(id)
 	if lod == nil {
 		return 0
 	}
