Do not blame upstreams for the memory that a node lacks

A plain answer that waited 2 s for memory of the node ended its attempt as a failure of the upstream, which then got fewer calls. It is now inconclusive. TestShortMemoryIsNoFailureOfTheUpstream fails without the change: one of two calls went to the first upstream.

--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -24,6 +24,9 @@
 	initialResponseBuffer = 4 << 10
 )
 
+// errNoMemory means that the node has no memory for a response, which says nothing about the upstream.
+var errNoMemory = errors.New("no memory for the response")
+
 // answer is the memory of an answer and the way to its caller.
 type answer struct {
 	hold    *intake.Hold
@@ -93,7 +96,7 @@
 	for {
 		if len(buf) == cap(buf) {
 			if buf, err = enlarge(ctx, buf, rsp.ContentLength, hol); err != nil {
-				return nil, reserved, errors.Wrap(err, "no memory for the response")
+				return nil, reserved, errors.Wrap(errNoMemory, err.Error())
 			}
 		}
 		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
@@ -102,7 +105,7 @@
 			total := snd.buffered.Add(over - reserved)
 			reserved = over
 			if total > maxBufferedBytes {
-				return nil, reserved, errors.Errorf("buffered responses exceed %d bytes", maxBufferedBytes)
+				return nil, reserved, errors.Wrapf(errNoMemory, "buffered responses exceed %d bytes", maxBufferedBytes)
 			}
 		}
 		switch {
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -56,7 +56,11 @@
 	defer func() { act.sender.buffered.Add(-reserved) }()
 	if err != nil {
 		con.Close()
-		return act.failAttempt(ctx, "answer cut", ins, err)
+		sta, res := act.failAttempt(ctx, "answer cut", ins, err)
+		if errors.Is(err, errNoMemory) {
+			res = place.Inconclusive
+		}
+		return sta, res
 	}
 	written := con.RequestWritten()
 	con.Release(rsp)
