--- a/internal/router/admit/chance.go
+++ b/internal/router/admit/chance.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// minPatience, patienceTargets and patienceGaps give the time after which callers leave a stream without a first event: the
-	// longest of minPatience, that many targets and that many gap targets.
-	minPatience     = 2 * time.Second
-	patienceTargets = 4
-	patienceGaps    = 8
+	// minCallerTimeout, callerTimeoutTargets and callerTimeoutGaps give the time after which callers leave a stream without a first event: the
+	// longest of minCallerTimeout, that many targets and that many gap targets.
+	minCallerTimeout     = 2 * time.Second
+	callerTimeoutTargets = 4
+	callerTimeoutGaps    = 8
 	// waitMargin is the part of the expected wait by which a call is refused, and lateWaitMargin that after earlyShare of its target. A
 	// refusal costs the caller more then, and an answer that is late still has some worth. With a margin below 1 at first, half of the refusals
 	// came after the call had waited for most of its time.
@@ -28,15 +28,15 @@
 // The reasons of refusals.
 const (
 	reasonDeadline = "it can't end before its deadline"
-	reasonPatience = "its first event would come after its caller left"
+	reasonCallerTimeout = "its first event would come after its caller left"
 )
 
-// patience returns how long after its arrival the caller of a stream waits for the first event; zero means until the deadline.
-func (wai *waiter) patience() time.Duration {
+// callerTimeout returns how long after its arrival the caller of a stream waits for the first event; zero means until the deadline.
+func (wai *waiter) callerTimeout() time.Duration {
 	if !wai.Route.Stream {
 		return 0
 	}
-	return max(minPatience, patienceTargets*wai.Route.Target, patienceGaps*wai.Route.GapTarget)
+	return max(minCallerTimeout, callerTimeoutTargets*wai.Route.Target, callerTimeoutGaps*wai.Route.GapTarget)
 }
 
 // leastWait returns the part of the expected wait in the queue by which a call is refused.
@@ -47,20 +47,20 @@
 	return time.Duration(lateWaitMargin * float64(wait))
 }
 
-// hopelessAt returns why a call has no chance by an estimate, or an empty string if it has one.
-func (wai *waiter) hopelessAt(est router.UpstreamEstimate, now time.Time) (reason string) {
-	return wai.hopeless(time.Duration(firstEventMargin*float64(est.FirstEvent)), est.EventGap, now)
+// rejectReasonAt returns why a call has no chance by an estimate, or an empty string if it has one.
+func (wai *waiter) rejectReasonAt(est router.UpstreamEstimate, now time.Time) (reason string) {
+	return wai.rejectReason(time.Duration(firstEventMargin*float64(est.FirstEvent)), est.EventGap, now)
 }
 
-// hopeless returns why a call has no chance, or an empty string if it has one. wait is its time to the first event at least.
-func (wai *waiter) hopeless(wait, gap time.Duration, now time.Time) (reason string) {
+// rejectReason returns why a call has no chance, or an empty string if it has one. wait is its time to the first event at least.
+func (wai *waiter) rejectReason(wait, gap time.Duration, now time.Time) (reason string) {
 	first := now.Add(wait)
 	out := wai.service.outputs.duration(wai.Call.OutputTokens, gap)
 	if first.Add(out).After(wai.Deadline) {
 		return reasonDeadline
 	}
-	if pat := wai.patience(); pat > 0 && first.Sub(wai.Call.Arrived) > pat {
-		return reasonPatience
+	if tmo := wai.callerTimeout(); tmo > 0 && first.Sub(wai.Call.Arrived) > tmo {
+		return reasonCallerTimeout
 	}
 	return ""
 }
--- a/internal/router/admit/controller.go
+++ b/internal/router/admit/controller.go
@@ -96,7 +96,7 @@
 	wai.setRank(ser.uses.exceeds(wai.account(), now))
 	all, same := ser.ahead(wai)
 	wait := ser.wait(wai, all, same, ser.rateFor(wai.Tier, wai.rank, now))
-	if reason := wai.hopeless(wai.leastWait(wait, now), ser.outputs.gap, now); reason != "" && !ser.idle() && !ser.spared(wai, now) {
+	if reason := wai.rejectReason(wai.leastWait(wait, now), ser.outputs.gap, now); reason != "" && !ser.idle() && !ser.spared(wai, now) {
 		ctl.refuse(wai, reason, wait, now)
 		return wai
 	}
@@ -215,7 +215,7 @@
 			rates[key] = ser.rateFor(wai.Tier, wai.rank, now)
 		}
 		wait := ser.wait(wai, pos, same[wai.account()], rates[key])
-		if reason := wai.hopeless(wai.leastWait(wait, now), ser.outputs.gap, now); reason != "" && !ser.spared(wai, now) {
+		if reason := wai.rejectReason(wai.leastWait(wait, now), ser.outputs.gap, now); reason != "" && !ser.spared(wai, now) {
 			ser.own[wai.Tier]--
 			ctl.refuse(wai, reason, wait, now)
 			return true
@@ -239,7 +239,7 @@
 	if wai.estimate.FirstEvent == 0 || est.FirstEvent < wai.estimate.FirstEvent {
 		wai.estimate = est
 	}
-	return wai.spared || ser.view.Slots == 0 || now.Sub(ctl.began) < startTime || ser.idle() || wai.hopelessAt(est, now) == ""
+	return wai.spared || ser.view.Slots == 0 || now.Sub(ctl.began) < startTime || ser.idle() || wai.rejectReasonAt(est, now) == ""
 }
 
 // Refuse implements router.AdmissionTicket.
@@ -251,7 +251,7 @@
 	if ser.spared(wai, now) {
 		return nil
 	}
-	reason := wai.hopelessAt(wai.estimate, now)
+	reason := wai.rejectReasonAt(wai.estimate, now)
 	if reason == "" {
 		reason = reasonDeadline
 	}
--- a/internal/router/place/rates.go
+++ b/internal/router/place/rates.go
@@ -136,7 +136,7 @@
 }
 
 // comparable reports whether the time to the first event depends on the engine alone: not on a long way to it, a copy, calls
-// that overtake this one, or mostly on work of others, of which this node has old news.
+// that overtake this one, or mostly on work of others, of which this node has outdated data.
 func (rsv *Reservation) comparable() bool {
 	return rsv.service != nil && rsv.AheadTokens <= rsv.PrefillTokens/2 && !rsv.remote && rsv.Source == "" && !rsv.Late && rsv.firstEventWork >= minSpeedTokens
 }
--- a/internal/router/place/slow_test.go
+++ b/internal/router/place/slow_test.go
@@ -129,7 +129,7 @@
 }
 
 // TestEqualEnginesAreNotFoundSlowInSurge has a surge at engines of one speed. It guards against engines that lose their cached
-// prefixes because old news of their queues, or few observations, make them seem slow.
+// prefixes because outdated data on their queues, or few observations, make them seem slow.
 func TestEqualEnginesAreNotFoundSlowInSurge(t *testing.T) {
 	for seed := range uint64(4) {
 		mod := newModel(12, 48, 0, 514268, routeTargets)
