--- a/internal/router/admit/chance.go
+++ b/internal/router/admit/chance.go
@@ -27,7 +27,7 @@
 
 // The reasons of refusals.
 const (
-	reasonDeadline = "it can't end before its deadline"
+	reasonDeadline      = "it can't end before its deadline"
 	reasonCallerTimeout = "its first event would come after its caller left"
 )
 
