Leave engines without calls out of digests

Digests named each engine whose prefill rate the node had observed in the last 3 s, so that peers learn it. A rate is observed while its call still runs, so an entry for an engine with calls carries it.

--- a/internal/router/place/balancer.go
+++ b/internal/router/place/balancer.go
@@ -109,16 +109,15 @@
 	}
 }
 
-// LocalLoads returns what this node has in flight, by the hash of the incarnation's key. Incarnations whose prefill rate
-// it observed lately are included, with nothing in flight.
+// LocalLoads returns what this node has in flight, by the hash of the incarnation's key. Incarnations without a call are left out, although
+// their prefill rate may have been observed lately: digests grow with each entry, and a rate is observed while its call still runs.
 func (bal *Balancer) LocalLoads() (infs map[uint64]InFlight) {
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
 	infs = make(map[uint64]InFlight)
-	now := bal.options.Timers.Now()
 	for id, lod := range bal.byID {
 		lod.mut.Lock()
-		if lod.local != (InFlight{}) || lod.rate.recent(now) > 0 {
+		if lod.local != (InFlight{}) {
 			infs[id] = lod.local
 		}
 		lod.mut.Unlock()
