--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -62,6 +62,8 @@
 	// Window is the length of a usage window, and Late the time for its report.
 	Window, Late time.Duration
 	Lease        time.Duration
+	// Layout holds the zone of each node; without it they are dealt in turn.
+	Layout []int
 }
 
 // Node is a process of the product.
@@ -205,13 +207,17 @@
 	cfg := dep.config
 	dep.mut.Unlock()
 	dep.Store.Set("op", "config", cfg)
-	dep.Heartbeat()
+	dep.writeRecords(true)
 }
 
-// Heartbeat writes the records of the servers.
+// Heartbeat writes the records of the servers that have changed.
 func (dep *Deployment) Heartbeat() {
+	dep.writeRecords(false)
+}
+
+func (dep *Deployment) writeRecords(all bool) {
 	for _, srv := range dep.Servers {
-		if rec := srv.Record(); rec != nil {
+		if rec := srv.Record(all); rec != nil {
 			dep.Store.Set("servers", srv.ID, rec)
 		}
 	}
@@ -245,8 +251,16 @@
 }
 
 func (dep *Deployment) addNode(num int) error {
-	zon := zones[num%len(zones)]
-	nod := &Node{Name: fmt.Sprintf("edge-%s-%d", zon.name, num/len(zones)+1), Zone: zon.name, dep: dep}
+	zon, place := zones[num%len(zones)], num/len(zones)
+	if len(dep.Layout) > 0 {
+		zon, place = zones[dep.Layout[num]], 0
+		for _, nod := range dep.Nodes {
+			if nod.Zone == zon.name {
+				place++
+			}
+		}
+	}
+	nod := &Node{Name: fmt.Sprintf("edge-%s-%d", zon.name, place+1), Zone: zon.name, dep: dep}
 	// An address of its own for each node of each run.
 	ip := fmt.Sprintf("127.%d.%d.%d", 10+num, os.Getpid()/250%250, os.Getpid()%250+1)
 	var metrics string
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -60,13 +60,17 @@
 	born     int64
 	sequence int64
 	draining bool
-	silent   bool
-	conns    map[net.Conn]bool
-	work     time.Duration
-	events   int
-	gap      time.Duration
-	behave   func(exc *Exchange) bool
-	stopped  chan struct{}
+	// left is set when the entry is removed although the server still serves.
+	left bool
+	// written is what the entry holds besides its number.
+	written string
+	silent  bool
+	conns   map[net.Conn]bool
+	work    time.Duration
+	events  int
+	gap     time.Duration
+	behave  func(exc *Exchange) bool
+	stopped chan struct{}
 }
 
 // Exchange is a request at a server.
@@ -163,11 +167,22 @@
 	srv.draining = draining
 }
 
-// Record returns the next record of the server, or nil while it is down.
-func (srv *Server) Record() any {
+// Leave removes the entry of a server that never reports draining; it goes on serving.
+func (srv *Server) Leave(str *Store) time.Time {
+	srv.mut.Lock()
+	srv.left = true
+	srv.mut.Unlock()
+	str.Set("servers", srv.ID, nil)
+	srv.rec.Line("entry of %s removed", srv.ID)
+	return time.Now()
+}
+
+// Record returns the next record of the server, or nil while it is down. It is also nil if nothing but its number would change, unless all
+// is set: the entry changes only when more does.
+func (srv *Server) Record(all bool) any {
 	srv.mut.Lock()
 	defer srv.mut.Unlock()
-	if srv.silent {
+	if srv.silent || srv.left {
 		return nil
 	}
 	srv.sequence++
@@ -175,6 +190,11 @@
 	if srv.draining {
 		state = "draining"
 	}
+	written := fmt.Sprint(state, srv.born)
+	if written == srv.written && !all {
+		return nil
+	}
+	srv.written = written
 	return map[string]any{
 		"service": srv.Service, "address": srv.address, "zone": srv.Zone, "version": "v1", "slots": 64, "state": state,
 		"warmupLeftMs": 0, "sequence": srv.sequence, "born": srv.born,
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -41,28 +41,30 @@
 	rec   *Recorder
 	began time.Time
 
-	mut      sync.Mutex
-	era      int64
-	version  int64
-	oldest   int64
-	rows     map[rowID]Row
-	history  []Row
-	changed  chan struct{}
-	mode     StoreMode
-	modes    map[string]StoreMode
-	delay    time.Duration
-	lost     float64
-	late     float64
-	rnd      *rand.Rand
-	lastTx   string
-	onCommit func(node string, writes []Row)
+	mut     sync.Mutex
+	era     int64
+	version int64
+	oldest  int64
+	rows    map[rowID]Row
+	history []Row
+	changed chan struct{}
+	mode    StoreMode
+	modes   map[string]StoreMode
+	delay   time.Duration
+	lost    float64
+	late    float64
+	rnd     *rand.Rand
+	lastTx  string
+	// fed holds when a node last began to wait for changes of the servers, and answered when it last got an answer.
+	fed, answered map[string]time.Time
+	onCommit      func(node string, writes []Row)
 }
 
 // NewStore returns an empty store.
 func NewStore(rec *Recorder, seed uint64) *Store {
 	return &Store{
 		rec: rec, began: time.Now(), rows: make(map[rowID]Row), changed: make(chan struct{}), modes: make(map[string]StoreMode),
-		rnd: rand.New(rand.NewPCG(seed, 7)),
+		rnd: rand.New(rand.NewPCG(seed, 7)), fed: make(map[string]time.Time), answered: make(map[string]time.Time),
 	}
 }
 
@@ -136,6 +138,13 @@
 	return str.lastTx
 }
 
+// Polled returns when a node last began to wait for changes of the servers, and when such a wait of it last ended.
+func (str *Store) Polled(node string) (began, ended time.Time) {
+	str.mut.Lock()
+	defer str.mut.Unlock()
+	return str.fed[node], str.answered[node]
+}
+
 // Compact discards the history.
 func (str *Store) Compact() {
 	str.mut.Lock()
@@ -267,6 +276,16 @@
 	qry := req.URL.Query()
 	since, _ := strconv.ParseInt(qry.Get("sinceRevision"), 10, 64)
 	wait, _ := strconv.Atoi(qry.Get("waitMs"))
+	if qry.Get("table") == "servers" {
+		str.mut.Lock()
+		str.fed[node] = time.Now()
+		str.mut.Unlock()
+		defer func() {
+			str.mut.Lock()
+			str.answered[node] = time.Now()
+			str.mut.Unlock()
+		}()
+	}
 	end := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	for expired := false; ; {
 		str.mut.Lock()
