--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -241,13 +241,17 @@
 	}
 }
 
-func freeAddress(network, ip string) (string, error) {
-	lis, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns free addresses of an IP; all stay taken until the last one is found.
+func freeAddresses(ip string, number int) (adrs []string, err error) {
+	for range number {
+		lis, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer lis.Close()
+		adrs = append(adrs, lis.Addr().String())
 	}
-	defer lis.Close()
-	return lis.Addr().String(), nil
+	return adrs, nil
 }
 
 func (dep *Deployment) addNode(num int) error {
@@ -263,14 +267,12 @@
 	nod := &Node{Name: fmt.Sprintf("edge-%s-%d", zon.name, place+1), Zone: zon.name, dep: dep}
 	// An address of its own for each node of each run.
 	ip := fmt.Sprintf("127.%d.%d.%d", 10+num, os.Getpid()/250%250, os.Getpid()%250+1)
-	var metrics string
-	for _, adr := range []*string{&nod.Front, &nod.Ready, &nod.Mesh, &metrics} {
-		one, err := freeAddress("tcp", ip)
-		if err != nil {
-			return err
-		}
-		*adr = one
+	adrs, err := freeAddresses(ip, 4)
+	if err != nil {
+		return err
 	}
+	nod.Front, nod.Ready, nod.Mesh = adrs[0], adrs[1], adrs[2]
+	metrics := adrs[3]
 	store, err := dep.serveHTTP(dep.Store.Handler(nod.Name))
 	if err != nil {
 		return err
