--- a/review/standin-2/case_poison.go
+++ b/review/standin-2/case_poison.go
@@ -131,6 +131,12 @@
 	for end := num + 12; num < end; num++ {
 		res := send(deadlyPart, num, dep.Nodes[num%6])
 		dep.rec.Line("request with the deadly part at %s: %d", dep.Nodes[num%6].Name, res.Status)
+		if res.Status != 503 {
+			// The client of a stream that may be resumed tries once more after a failure, at another machine.
+			again := dep.Nodes[(num+1)%6]
+			res = send(deadlyPart, 100+num, again)
+			dep.rec.Line("its client's retry at %s: %d", again.Name, res.Status)
+		}
 		time.Sleep(1500 * time.Millisecond)
 	}
 	cancel()
