--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -314,7 +314,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(nod.dep.binary, "serve", "--node", nod.settings)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=/tmp", "HORNBEAMDYKE_CONFIG=" + nod.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + nod.dep.dir, "HORNBEAMDYKE_CONFIG=" + nod.settings}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
