--- a/review/standin-2/case_limit_zero.go
+++ b/review/standin-2/case_limit_zero.go
@@ -14,6 +14,7 @@
 // caseLimitZero lets a server in need lower its limit from some requests a second to none.
 func caseLimitZero(dep *Deployment, trouble bool) error {
 	const perSecond = 13.4
+	dep.Layout = layout
 	if err := dep.Start(6, 3, 3); err != nil {
 		return err
 	}
@@ -58,7 +59,7 @@
 		rnd := rand.New(rand.NewPCG(dep.seed, 5))
 		for num := 0; ctx.Err() == nil; num++ {
 			time.Sleep(time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)))
-			nod := dep.Nodes[rnd.IntN(len(dep.Nodes))]
+			nod := dep.consumerNode(rnd)
 			id := fmt.Sprintf("order-%d", num)
 			group.Go(func() {
 				cli := nod.Client()
