A request that may have run is refused with 502, not 503

What callers saw: on the product's own interface a call whose upstream had closed the connection without an answer, or had sent a broken one, ended with status 503 and Retry-After when no other upstream was left to try.

Cause: when a refusal of the scheduler (no upstream left, queue full) ends a call that was sent before, correctOutcome changed its outcome only and kept its status.

Evidence: TestLostAnswerIsUnknown plays orders, lookups, streams, collected and forwarded chats against upstreams that close without an answer.

Fix: Refusal.SetUnknown replaces each status that implies NotRun by 502 and drops the Retry-After. Both places that correct the outcome use it, so that status and outcome cannot differ. The list of such statuses moves from package send to package router.

--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -38,6 +38,24 @@
 	return ref
 }
 
+// SetUnknown states that an upstream may have run the request. A status that implies the contrary becomes 502.
+func (ref *Refusal) SetUnknown() {
+	ref.Outcome = Unknown
+	if ImpliesNotRun(ref.Status) {
+		ref.Status, ref.RetryAfter = http.StatusBadGateway, 0
+	}
+}
+
+// ImpliesNotRun reports whether callers take a status to mean that the request was not executed and will not be.
+func ImpliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Values of Refusal.Code, as callers receive them.
 const (
 	CodeInvalid       = "invalid_request"
--- /dev/null
+++ b/internal/router/node/malformed_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+)
+
+// newRawHarness starts a node whose upstreams, an engine and a service, answer each request except health checks with the bytes of
+// text and close the connection.
+func newRawHarness(t *testing.T, text string) *harness {
+	t.Helper()
+	har := &harness{t: t, reached: make(chan struct{})}
+	body, end, _ := strings.Cut(text, "\x00")
+	raw := http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == fakes.HealthPath {
+			return
+		}
+		soc, _, err := http.NewResponseController(wri).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = soc.Close() }()
+		_, _ = soc.Write([]byte(body))
+		if tcp, ok := soc.(*net.TCPConn); ok && "\x00"+end == fakes.ThenReset {
+			_ = tcp.SetLinger(0)
+		}
+	})
+	engine := har.serve(raw, fakes.NewInjector(1))
+	service := har.serve(raw, fakes.NewInjector(1))
+	har.start([]string{engine}, service, 4)
+	return har
+}
+
+// rawCalls are the kinds of requests whose answers are read in different ways.
+var rawCalls = map[string]func(har *harness) answer{
+	"order": func(har *harness) answer {
+		return har.send(http.MethodPost, "/services/shop/orders", []byte(`{}`), map[string]string{router.HeaderOrderKey: "k1"})
+	},
+	"lookup": func(har *harness) answer { return har.send(http.MethodGet, "/services/shop/stock", nil, nil) },
+	"stream": func(har *harness) answer { return har.chat("preview", "tokens=2 hello") },
+	"collected chat": func(har *harness) answer {
+		return har.send(http.MethodPost, "/v1/chat/completions", []byte(`{"model":"m","messages":[{"role":"user","content":"a"}]}`),
+			map[string]string{router.HeaderClass: "preview"})
+	},
+	"forwarded chat": func(har *harness) answer {
+		return har.send(http.MethodPost, "/v1/chat/completions", []byte(`{"model":"m","n":2,"messages":[{"role":"user","content":"a"}]}`),
+			map[string]string{router.HeaderClass: "preview"})
+	},
+}
+
+// checkUnknown checks that each kind of request that is answered by these bytes gets the outcome Unknown, also when it is repeated,
+// and that an order is sent once.
+func checkUnknown(t *testing.T, text string) {
+	t.Helper()
+	for _, kind := range slices.Sorted(maps.Keys(rawCalls)) {
+		har := newRawHarness(t, text)
+		for attempt := range 2 {
+			ans := rawCalls[kind](har)
+			if ans.outcome != router.Unknown || ans.status != http.StatusBadGateway && ans.status != http.StatusConflict {
+				t.Errorf("%s, attempt %d: status %d, outcome %q, body %q", kind, attempt, ans.status, ans.outcome, ans.body)
+			}
+		}
+		if got := har.calls.Load(); kind == "order" && got != 1 {
+			t.Errorf("the order was sent %d times", got)
+		}
+	}
+}
+
+// TestLostAnswerIsUnknown guards against a status that callers take for a promise that the request has not run, such as 503: the
+// upstreams closed the connection without an answer, and none was left to try.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	checkUnknown(t, "")
+}
--- a/internal/router/node/request_test.go
+++ b/internal/router/node/request_test.go
@@ -61,7 +61,14 @@
 	inj := fakes.NewInjector(1)
 	har.injectors = append(har.injectors, inj)
 	srv := har.serve(fakes.NewService("shop", time.Millisecond, inj, nil).Handler(), inj)
-	doc := conf.Document{Base: conf.Source{File: "base.yaml", Text: settings(adrs, srv, opt.Slots)}}
+	har.start(adrs, srv, opt.Slots)
+	return har
+}
+
+// start starts the node with the addresses of its upstreams.
+func (har *harness) start(engines []string, service string, slots int) {
+	t := har.t
+	doc := conf.Document{Base: conf.Source{File: "base.yaml", Text: settings(engines, service, slots)}}
 	nod, err := New(Options{
 		Settings: conf.Node{Name: "n", FailureDomain: "here", Region: "home", Table: conf.Table{Kind: conf.Memory}, Objects: conf.Objects{Kind: conf.Memory}},
 		Document: &doc,
@@ -79,7 +86,6 @@
 	hts := httptest.NewServer(nod.entry.Handler())
 	t.Cleanup(hts.Close)
 	har.url, har.node = hts.URL, nod
-	return har
 }
 
 // serve starts a server that counts requests and whose connections the switch controls.
--- a/internal/router/runner/run.go
+++ b/internal/router/runner/run.go
@@ -119,11 +119,11 @@
 	return errors.Is(res.err, errStalled) || errors.Is(res.err, relay.ErrRetired)
 }
 
-// correctOutcome sets the outcome of a refusal to Unknown if an upstream may have run the request.
+// correctOutcome makes a refusal state that the outcome is unknown if an upstream may have run the request.
 func (ses *session) correctOutcome(err error) error {
 	var ref *router.Refusal
 	if errors.As(err, &ref) && ses.sent.Load() {
-		ref.Outcome = router.Unknown
+		ref.SetUnknown()
 	}
 	return err
 }
--- a/internal/router/runner/service.go
+++ b/internal/router/runner/service.go
@@ -133,11 +133,11 @@
 	return run.options.Ledger.Run(ctx, att, func() order.SendResult { return run.sendOnce(ctx, grt, cal) })
 }
 
-// correctOutcome sets the outcome of a refusal to Unknown if an upstream may have run the call.
+// correctOutcome makes a refusal state that the outcome is unknown if an upstream may have run the call.
 func correctOutcome(err error, started bool) error {
 	var ref *router.Refusal
 	if started && errors.As(err, &ref) {
-		ref.Outcome = router.Unknown
+		ref.SetUnknown()
 	}
 	return err
 }
--- a/internal/router/send/attempt.go
+++ b/internal/router/send/attempt.go
@@ -138,7 +138,8 @@
 		act.drainRejection(con, rsp)
 		act.logFailure("rejected", ins, errors.Errorf("status %d", rsp.StatusCode))
 		return rejected, place.Rejected
-	case !chk.Relayable || impliesNotRun(rsp.StatusCode):
+	case !chk.Relayable || router.ImpliesNotRun(rsp.StatusCode):
+		// Without the statement that the call was not executed, its outcome is unknown.
 		con.Close()
 		return act.failAttempt(ctx, "answer not the upstream's", ins, errors.Errorf("status %d", rsp.StatusCode))
 	case act.job.Route.Stream && rsp.StatusCode == http.StatusOK:
@@ -151,17 +152,6 @@
 	}
 }
 
-// impliesNotRun reports whether callers take a status to mean that the request was not executed. Such a status is
-// not relayed: unless the upstream states explicitly that it did not execute the call, the outcome is unknown.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // failAttempt logs a failed attempt that the upstream may have executed, checks for a crash if the connection
 // broke, and returns the resulting state.
 func (act *activeCall) failAttempt(ctx context.Context, what string, ins router.Instance, err error) (attemptState, place.Result) {
