Responses without a valid status line are no answers

What callers saw: an upstream in trouble sent an answer with status 000. On the users' platform the head was skipped as if it were informational, and what followed it (the body, or a later response) was taken for the answer and reached callers as a 200, or the call waited for its whole time. On the product's own interface the handler panicked and the caller's connection ended; the broken answer to an order was stored, so that each repeat ended in the same way. A status of 600 to 999, 101 or the protocol HTTP/2.0 in a status line went through as an answer of that status.

Cause: http.ReadResponse and http.Transport take any three digits, also with a sign, as a status, any HTTP version and any number of blanks before the status. Package conns loops while the status is below 200.

Fix: package strict, a connection that checks the bytes of a head before net/http parses them and fails the read otherwise. The limit of 64 KiB for a head moves there from conns. A failed read is an error of an attempt that may have run: the outcome is unknown, and it is repeated only where the route allows it.

--- a/internal/router/conns/conn.go
+++ b/internal/router/conns/conn.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/strict"
 )
 
 const (
@@ -43,8 +44,7 @@
 	Reused bool
 
 	pool        *Pool
-	socket      net.Conn
-	limit       *limitedReader
+	socket      *strict.Conn
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -57,12 +57,12 @@
 }
 
 func newConn(pol *Pool, soc net.Conn) *Conn {
-	lim := &limitedReader{source: soc}
-	return &Conn{pool: pol, socket: soc, limit: lim, reader: bufio.NewReaderSize(lim, readBuffer), idleTimeout: defaultIdleTimeout}
+	con := strict.NewConn(soc)
+	return &Conn{pool: pol, socket: con, reader: bufio.NewReaderSize(con, readBuffer), idleTimeout: defaultIdleTimeout}
 }
 
-// Send sends a request and returns the response with its body unread; informational responses are skipped. A response
-// whose header exceeds maxHeadBytes is an error.
+// Send sends a request and returns the response with its body unread; informational responses are skipped. A malformed response,
+// as package strict defines it, is an error.
 // The connection is closed when the context ends.
 //
 // After an error the upstream may have received the request, unless it is a *NotWrittenError. The caller either reads the
@@ -71,6 +71,7 @@
 	defer errs.Annotate(&err, "exchange")
 	con.stopWatch = context.AfterFunc(ctx, func() { _ = con.socket.Close() })
 	con.writeDone = nil
+	con.socket.Begin()
 	if len(req.Body) > asyncBodyBytes {
 		con.writeDone = make(chan struct{})
 		go func() {
@@ -81,8 +82,6 @@
 		return nil, &NotWrittenError{cause: err}
 	}
 	out := &http.Request{Method: req.Method}
-	con.limit.limited, con.limit.left = true, maxHeadBytes
-	defer func() { con.limit.limited = false }()
 	for {
 		rsp, err = http.ReadResponse(con.reader, out)
 		if err != nil {
@@ -91,9 +90,6 @@
 		if rsp.StatusCode >= http.StatusOK {
 			return rsp, nil
 		}
-		if rsp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("upstream switched protocols")
-		}
 	}
 }
 
@@ -182,7 +178,7 @@
 // isOpen reports whether an idle connection is open and has received no data. It reads without blocking: data or
 // an end of stream on an idle connection make it unusable.
 func (con *Conn) isOpen() (ok bool) {
-	raw, err := con.socket.(syscall.Conn).SyscallConn()
+	raw, err := con.socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/router/conns/conns_test.go
+++ b/internal/router/conns/conns_test.go
@@ -178,3 +178,31 @@
 		})
 	}
 }
+
+// TestInvalidStatusIsNoResponse guards against a response whose status is none, such as 000, on new and on kept connections. Such a
+// response was skipped as an informational one, and what followed it was taken for the response.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	endings := map[string]string{
+		"with a length":                     "Content-Length: 2\r\n\r\nok",
+		"without a length":                  "\r\nok" + fakes.ThenClose,
+		"without a body":                    "\r\n" + fakes.ThenClose,
+		"with another response as its body": "Content-Length: 40\r\n\r\n" + okResponse,
+		"before another response":           "\r\n" + okResponse,
+	}
+	for name, line := range fakes.InvalidStatusLines() {
+		for nameEnd, end := range endings {
+			t.Run(name+" "+nameEnd, func(t *testing.T) {
+				scr := fakes.NewScriptedServer(t, line+"\r\n"+end, okResponse, "HTTP/1.1 103 Early Hints\r\n\r\n"+line+"\r\n"+end)
+				pol := conns.NewPools().Pool("key", scr.Address)
+				for _, sound := range []bool{false, true, false} {
+					if txt, err := exchange(t, pol, ""); sound != (err == nil) {
+						t.Errorf("response %q, error %v", txt, err)
+					}
+				}
+				if got := scr.Accepted(); got != 2 {
+					t.Errorf("%d connections, want 2", got)
+				}
+			})
+		}
+	}
+}
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -19,6 +19,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/follow"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/strict"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
@@ -77,11 +78,11 @@
 }
 
 // peerTransport connects to peers.
-var peerTransport = &http.Transport{
+var peerTransport = strict.Transport(&http.Transport{
 	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	MaxIdleConnsPerHost: 1,
 	IdleConnTimeout:     5 * time.Second,
-}
+})
 
 // fetchNewerCopies fetches the changes that the sender of a digest has and this node's own watch
 // does not deliver. If there are none, the copies are as current as those of the sender.
--- a/internal/router/node/malformed_test.go
+++ b/internal/router/node/malformed_test.go
@@ -79,3 +79,14 @@
 func TestLostAnswerIsUnknown(t *testing.T) {
 	checkUnknown(t, "")
 }
+
+// TestInvalidStatusIsNoAnswer guards against an answer whose status is none, such as 000, which reached the caller or ended its
+// connection, and which was stored as the answer to an order.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for name, line := range fakes.InvalidStatusLines() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkUnknown(t, line+"\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
+		})
+	}
+}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/strict"
 )
 
 // ErrRetired is the error of a request whose connection was retired by Retire.
@@ -56,7 +57,7 @@
 
 // connSet is the set of connections to one upstream that were opened since the last retirement.
 type connSet struct {
-	transport *http.Transport
+	transport *strict.RoundTripper
 	// context is cancelled when the set is retired.
 	context context.Context
 	cancel  context.CancelCauseFunc
@@ -145,23 +146,25 @@
 	set := rel.sets[address]
 	if set == nil {
 		ctx, cancel := context.WithCancelCause(context.Background())
-		set = &connSet{transport: rel.newTransport(), context: ctx, cancel: cancel}
+		set = &connSet{transport: rel.newTransport(true), context: ctx, cancel: cancel}
 		rel.sets[address] = set
 	}
 	return set
 }
 
-func (rel *Relay) newTransport() *http.Transport {
-	return &http.Transport{
+// newTransport returns a transport that fails malformed responses, as package strict defines them.
+func (rel *Relay) newTransport(keepAlive bool) *strict.RoundTripper {
+	return strict.Transport(&http.Transport{
 		DialContext:         rel.dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
+		DisableKeepAlives:   !keepAlive,
+	})
 }
 
 // transport returns the transport of the set or, with atMostOnce, a new one for a single call.
-func (rel *Relay) transport(set *connSet, atMostOnce bool) *http.Transport {
+func (rel *Relay) transport(set *connSet, atMostOnce bool) *strict.RoundTripper {
 	if atMostOnce {
 		return rel.singleUse()
 	}
@@ -169,10 +172,8 @@
 }
 
 // singleUse returns a transport that closes its connection after one call.
-func (rel *Relay) singleUse() *http.Transport {
-	trp := rel.newTransport()
-	trp.DisableKeepAlives = true
-	return trp
+func (rel *Relay) singleUse() *strict.RoundTripper {
+	return rel.newTransport(false)
 }
 
 func newRequest(ctx context.Context, ups router.Upstream, cal Call) (req *http.Request, err error) {
--- /dev/null
+++ b/internal/router/relay/relay_test.go
@@ -0,0 +1,69 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/relay"
+)
+
+// ways are the ways in which an answer is read: on a kept connection, on one of its own, and for a health check. Each returns the body
+// and whether the call was sent.
+var ways = map[string]func(ctx context.Context, rel *relay.Relay, ups router.Upstream) (body string, sent bool, err error){
+	"kept connection": func(ctx context.Context, rel *relay.Relay, ups router.Upstream) (body string, sent bool, err error) {
+		return sendCall(ctx, rel, ups, relay.Call{Method: http.MethodPost, Path: "/p"})
+	},
+	"connection of its own": func(ctx context.Context, rel *relay.Relay, ups router.Upstream) (body string, sent bool, err error) {
+		return sendCall(ctx, rel, ups, relay.Call{Method: http.MethodPost, Path: "/p", AtMostOnce: true})
+	},
+	"health check": func(ctx context.Context, rel *relay.Relay, ups router.Upstream) (body string, sent bool, err error) {
+		return "", true, rel.Probe(ctx, ups)
+	},
+}
+
+func sendCall(ctx context.Context, rel *relay.Relay, ups router.Upstream, cal relay.Call) (body string, sent bool, err error) {
+	rsp, sent, err := rel.Send(ctx, ups, cal)
+	if err != nil {
+		return "", sent, err
+	}
+	defer rsp.Body.Close()
+	txt, err := io.ReadAll(rsp.Body)
+	return string(txt), sent, err
+}
+
+// checkMalformed checks that a malformed response is an error of a call that was sent, also on a connection that carried a sound
+// response before.
+func checkMalformed(t *testing.T, malformed string) {
+	t.Helper()
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for way, call := range ways {
+		scr := fakes.NewScriptedServer(t, sound, malformed)
+		rel := relay.New(time.Second)
+		ups := router.Upstream{Name: "u", Address: "http://" + scr.Address}
+		if _, _, err := call(t.Context(), rel, ups); err != nil {
+			t.Errorf("%s: sound response: %v", way, err)
+		}
+		if body, sent, err := call(t.Context(), rel, ups); err == nil || !sent {
+			t.Errorf("%s: body %q, sent %t, error %v", way, body, sent, err)
+		}
+		if got := len(scr.Requests()); got != 2 {
+			t.Errorf("%s: %d requests reached the upstream, want 2", way, got)
+		}
+		rel.Close()
+	}
+}
+
+// TestInvalidStatusIsNoResponse guards against a response whose status is none, such as 000.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for name, line := range fakes.InvalidStatusLines() {
+		t.Run(name, func(t *testing.T) {
+			checkMalformed(t, line+"\r\nContent-Length: 2\r\n\r\nok")
+			checkMalformed(t, "HTTP/1.1 103 Early Hints\r\n\r\n"+line+"\r\n\r\nok"+fakes.ThenClose)
+		})
+	}
+}
--- /dev/null
+++ b/internal/router/send/malformed_test.go
@@ -0,0 +1,98 @@
+package send_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/guard"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/send"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/timer"
+)
+
+// malformedRoutes are the kinds of routes on which a malformed response is tried. Each call may have run, so that no second attempt
+// follows unless the route allows it.
+var malformedRoutes = map[string]router.Route{
+	"plain":      {},
+	"idempotent": {Repeat: router.Idempotent, Attempts: 2},
+	"stream":     {Stream: true},
+	"resumable":  {Stream: true, Repeat: router.Resumable, Attempts: 2},
+}
+
+// wholeOf returns a complete response for a route.
+func wholeOf(rou router.Route) string {
+	if rou.Stream {
+		return events + oneTwo + three + last
+	}
+	return whole
+}
+
+// callOnce sends a call on real connections to upstreams that send these responses in turn.
+func callOnce(t *testing.T, rou router.Route, responses ...string) (status int, body string, complete bool, attempts int) {
+	t.Helper()
+	que := &responseQueue{responses: responses}
+	scrs := que.upstreams(t, 2)
+	grd, stop := guard.New(timer.Real{}, send.MaxCrashes)
+	defer stop()
+	status, body, complete = callFront(t, startFront(t, newSender(grd, scrs...), rou))
+	return status, body, complete, que.attempts(scrs)
+}
+
+// checkMalformed checks that a malformed response is no answer: the outcome of the call is unknown, unless a second attempt is
+// allowed, which gets a complete response.
+func checkMalformed(t *testing.T, rou router.Route, malformed string) {
+	t.Helper()
+	malformed = strings.ReplaceAll(malformed, "{ID}", "call")
+	status, body, complete, attempts := callOnce(t, rou, malformed, wholeOf(rou))
+	want := max(rou.Attempts, 1)
+	if attempts != want {
+		t.Errorf("%d attempts, want %d", attempts, want)
+	}
+	if want == 1 && (status != http.StatusBadGateway || !complete) {
+		t.Errorf("status %d, body %q, complete %t, want an unknown outcome", status, body, complete)
+	}
+	if want > 1 && (status != http.StatusOK || !complete || strings.Contains(body, "odd")) {
+		t.Errorf("status %d, body %q, complete %t, want the response of the second attempt", status, body, complete)
+	}
+}
+
+// checkMalformedLater checks that a stream does not continue with a malformed response.
+func checkMalformedLater(t *testing.T, malformed string) {
+	t.Helper()
+	malformed = strings.ReplaceAll(malformed, "{ID}", "call")
+	_, body, complete, _ := callOnce(t, malformedRoutes["resumable"], events+oneTwo+fakes.ThenClose, malformed)
+	if complete || body != "id: 1\na\n\nid: 2\nb\n\n" {
+		t.Errorf("resumed: body %q, complete %t, want an end that shows that the stream is cut", body, complete)
+	}
+}
+
+// TestInvalidStatusIsNoAnswer guards against an answer whose status is none, such as 000: callers got it, or what followed it, as an
+// answer.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	const fields = "\r\nStand-Id: {ID}\r\nStand-Signed: 1\r\n"
+	bodies := map[string]string{
+		"length":           "Content-Length: 12\r\n\r\nid: 1\nodd\n\n\n",
+		"chunks":           "Transfer-Encoding: chunked\r\n\r\nc\r\nid: 1\nodd\n\n\n\r\n0\r\n\r\n",
+		"no length":        "\r\nid: 1\nodd\n\n" + fakes.ThenClose,
+		"no body":          "\r\n" + fakes.ThenClose,
+		"response as body": "\r\n" + head + "Content-Length: 3\r\n\r\nodd",
+		"not run":          "Stand-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, line := range fakes.InvalidStatusLines() {
+		for nameBody, body := range bodies {
+			for nameRoute, rou := range malformedRoutes {
+				t.Run(name+" "+nameBody+" "+nameRoute, func(t *testing.T) {
+					t.Parallel()
+					checkMalformed(t, rou, line+fields+body)
+					checkMalformed(t, rou, "HTTP/1.1 103 Early Hints\r\n\r\n"+line+fields+body)
+				})
+			}
+			t.Run(name+" "+nameBody+" resumed", func(t *testing.T) {
+				t.Parallel()
+				checkMalformedLater(t, line+fields+body)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/strict/conn.go
@@ -0,0 +1,66 @@
+package strict
+
+import (
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
+
+// Conn is a connection of an HTTP/1 client whose reads fail if the head of a response is malformed.
+type Conn struct {
+	net.Conn
+
+	headMut sync.Mutex
+	head    headCheck
+	// broken is the defect that was found; every later Read returns it.
+	broken error
+}
+
+// NewConn returns a Conn that checks nothing until Begin is called.
+func NewConn(soc net.Conn) *Conn {
+	return &Conn{Conn: soc}
+}
+
+// Begin expects the head of a response, or several if informational responses come first. It is called before the request is
+// written.
+func (con *Conn) Begin() {
+	con.headMut.Lock()
+	defer con.headMut.Unlock()
+	con.head = headCheck{active: true}
+}
+
+// Read implements io.Reader. It returns the bytes before the defect of a malformed head, and then a *MalformedError.
+func (con *Conn) Read(buf []byte) (num int, err error) {
+	if err := con.defect(); err != nil {
+		return 0, err
+	}
+	num, err = con.Conn.Read(buf)
+	con.headMut.Lock()
+	defer con.headMut.Unlock()
+	sound, bad := con.head.check(buf[:num])
+	if bad == nil {
+		return num, err
+	}
+	con.broken = bad
+	if sound == 0 {
+		return 0, bad
+	}
+	return sound, nil
+}
+
+func (con *Conn) defect() error {
+	con.headMut.Lock()
+	defer con.headMut.Unlock()
+	return con.broken
+}
+
+// SyscallConn implements syscall.Conn if the underlying connection does.
+func (con *Conn) SyscallConn() (raw syscall.RawConn, err error) {
+	soc, ok := con.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Errorf("%T has no descriptor", con.Conn)
+	}
+	return soc.SyscallConn()
+}
--- a/internal/router/vmlist/vmlist.go
+++ b/internal/router/vmlist/vmlist.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/strict"
 )
 
 // Names and values of the labels of a Group.
@@ -22,7 +23,10 @@
 	RoleUpstream = "upstream"
 )
 
-const fetchTimeout = 2 * time.Second
+const (
+	fetchTimeout = 2 * time.Second
+	idleTimeout  = 90 * time.Second
+)
 
 // Group is a target group of the list: addresses that share their labels.
 type Group struct {
@@ -38,7 +42,10 @@
 
 // New returns a Client that reads the list at url.
 func New(url string) *Client {
-	return &Client{url: url, client: &http.Client{Timeout: fetchTimeout}}
+	return &Client{url: url, client: &http.Client{
+		Timeout:   fetchTimeout,
+		Transport: strict.Transport(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: idleTimeout}),
+	}}
 }
 
 // List returns the VMs, or router.ErrUnavailable when the list cannot be fetched or decoded.
