An HTTP/1.0 response in chunks is malformed

What callers saw: an upstream that answers with HTTP/1.0 and Transfer-Encoding: chunked sent its body in chunks; callers got a 200 whose body held the sizes of the chunks.

Cause: net/http drops the field Transfer-Encoding of HTTP/1.0 responses and reads the body up to its length, or to the end of the connection. Afterwards nothing shows that the field was there.

Evidence: TestFaultyFramingIsNoAnswer sends 17 faulty framings on four kinds of routes. Before, the 12 cases with HTTP/1.0 failed: 200 with "c\r\nid: 1\nodd..." as the body. The other 14 framings (other or doubled codings, lengths that are none or differ, sizes of chunks that are none) are refused by net/http already; their cases stay.

Fix: package strict refuses the field in a head of HTTP/1.0, as RFC 9112 (6.1) asks. HTTP/1.0 with a length or without one stays as it is (TestWellFormedResponses).

Test: 12 of 68 cases failed before; all pass.

--- a/internal/router/send/malformed_test.go
+++ b/internal/router/send/malformed_test.go
@@ -162,3 +162,39 @@
 		})
 	}
 }
+
+// TestFaultyFramingIsNoAnswer guards against a body whose framing an upstream states in a way that package net/http ignores: callers
+// got the sizes of the chunks as a part of the body.
+func TestFaultyFramingIsNoAnswer(t *testing.T) {
+	const (
+		fields = "Stand-Id: {ID}\r\nStand-Signed: 1\r\n"
+		chunks = "c\r\nid: 1\nodd\n\n\n\r\n0\r\n\r\n"
+	)
+	cases := map[string]string{
+		"HTTP/1.0 with chunks":                 "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks + fakes.ThenClose,
+		"HTTP/1.0 with chunks, kept":           "HTTP/1.0 200 OK\r\n" + fields + "Connection: keep-alive\r\ntransfer-encoding:chunked\r\n\r\n" + chunks + fakes.ThenClose,
+		"HTTP/1.0 with chunks and length":      "HTTP/1.0 200 OK\r\n" + fields + "Content-Length: 22\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"other coding":                         "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: gzip\r\n\r\n" + chunks + fakes.ThenClose,
+		"other coding, then chunks":            "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks + fakes.ThenClose,
+		"chunks twice":                         "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + fakes.ThenClose,
+		"two lengths":                          "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 22\r\nContent-Length: 12\r\n\r\n" + chunks + fakes.ThenClose,
+		"length that is none":                  "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 1x\r\n\r\n" + chunks + fakes.ThenClose,
+		"length with a sign":                   "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: +22\r\n\r\n" + chunks + fakes.ThenClose,
+		"negative length":                      "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: -1\r\n\r\n" + chunks + fakes.ThenClose,
+		"empty length":                         "HTTP/1.1 200 OK\r\n" + fields + "Content-Length:\r\n\r\n" + chunks + fakes.ThenClose,
+		"size of a chunk that is none":         events + "xyz\r\nid: 1\nodd\n\n\n\r\n0\r\n\r\n",
+		"chunk that is longer than its size":   events + "3\r\nid: 1\nodd\n\n\n\r\n0\r\n\r\n",
+		"negative size of a chunk":             events + "-1\r\nid: 1\nodd\n\n\n\r\n0\r\n\r\n",
+		"size of a chunk with a blank in it":   events + "0 c\r\nid: 1\nodd\n\n\n\r\n0\r\n\r\n",
+		"size of a chunk beyond all integers":  events + "fffffffffffffffff\r\nid: 1\nodd\n\n\n\r\n0\r\n\r\n",
+		"size of a chunk without a line's end": events + "c" + fakes.ThenClose,
+	}
+	for name, text := range cases {
+		for nameRoute, rou := range malformedRoutes {
+			t.Run(name+" "+nameRoute, func(t *testing.T) {
+				t.Parallel()
+				checkMalformed(t, rou, text)
+			})
+		}
+	}
+}
--- a/internal/router/strict/head.go
+++ b/internal/router/strict/head.go
@@ -34,6 +34,8 @@
 	// inFields is set after the status line, whose status is status.
 	inFields bool
 	status   int
+	// oldVersion is set if the version of HTTP is 1.0.
+	oldVersion bool
 	// start holds the first bytes of the current line, whose length so far is length, without its end.
 	start  [32]byte
 	length int
@@ -88,7 +90,7 @@
 func (chk *headCheck) nextOfName(one byte) error {
 	if one == ':' && chk.length > 1 {
 		chk.inValue = true
-		return nil
+		return chk.endName()
 	}
 	if !isToken(one) {
 		return malformed("the name of a field holds the byte %#02x after %q", one, chk.line())
@@ -96,6 +98,15 @@
 	return nil
 }
 
+// endName checks the name of a field. HTTP/1.0 has no transfer codings, and package net/http ignores the field there, although an
+// upstream that states one sends its body in chunks (RFC 9112, section 6.1).
+func (chk *headCheck) endName() error {
+	if chk.oldVersion && strings.EqualFold(chk.line(), "Transfer-Encoding:") {
+		return malformed("it states a transfer coding in HTTP/1.0")
+	}
+	return nil
+}
+
 // line returns the first bytes of the current line.
 func (chk *headCheck) line() string {
 	return string(chk.start[:min(chk.length, len(chk.start))])
@@ -136,7 +147,7 @@
 	if chk.status == http.StatusSwitchingProtocols {
 		return malformed("it switches protocols")
 	}
-	chk.inFields = true
+	chk.inFields, chk.oldVersion = true, line[7] == '0'
 	return nil
 }
 
