A reset that a write of the request gets ends the response as cut

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got that part as a complete answer, on plain routes and as a stream.

Cause: the system reports a reset once. If the goroutine that writes the request gets it (ECONNRESET), the one that reads the response finds the end of the stream, as if the upstream had closed in order, and an answer without a length is complete there. The same holds for a timeout of the connection, and in http.Transport, whose loops for reading and writing race.

Requests up to 16 KiB are written before the response is read and held.

Fix: below the check of heads, package strict has a socket that keeps the first error of a write. A read that finds the end of the stream ends a write in progress, waits for it, and returns that error if there was one. EPIPE is none: after the upstream has closed its side, the system reports a reset as EPIPE, so an answer that ends in order stays complete, also if a reset follows. Over TLS the socket is below the encryption, whose own end of the stream stays valid.

--- a/internal/fakes/scripted.go
+++ b/internal/fakes/scripted.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // ScriptedServer is an upstream that sends the next answer of a list, byte for byte, on each
@@ -32,13 +34,19 @@
 	ThenReset = "\x00reset"
 	// ThenCrash closes the connection and the listener after the answer.
 	ThenCrash = "\x00crash"
+	// ThenResetLater resets the connection some time after the answer.
+	ThenResetLater = "\x00reset later"
+	// ThenHalfClose closes the sending side after the answer, and the connection when the client has closed its own.
+	ThenHalfClose = "\x00half-close"
+	// ThenHalfCloseReset closes the sending side after the answer, and resets the connection some time later.
+	ThenHalfCloseReset = "\x00half-close and reset"
 	// ThenHang keeps the connection open after the answer and sends nothing more.
 	ThenHang = "\x00silent"
 )
 
 // CutEnding parts an answer from its ending, which is empty if it has none. The answer may hold any bytes.
 func CutEnding(txt string) (body, end string) {
-	for _, end := range []string{ThenClose, ThenReset, ThenCrash, ThenHang} {
+	for _, end := range []string{ThenClose, ThenReset, ThenResetLater, ThenHalfClose, ThenHalfCloseReset, ThenCrash, ThenHang} {
 		if body, fnd := strings.CutSuffix(txt, end); fnd {
 			return body, end
 		}
@@ -46,6 +54,9 @@
 	return txt, ""
 }
 
+// laterDelay is enough for what was sent to arrive, and for the buffers of a client that sends without end to fill.
+const laterDelay = 20 * time.Millisecond
+
 // AnswerQueue is a queue of answers that one or more upstreams consume.
 type AnswerQueue struct {
 	mut   sync.Mutex
@@ -130,24 +141,37 @@
 		if _, err := soc.Write([]byte(body)); err != nil {
 			return
 		}
-		switch end {
-		case ThenClose:
-			return
-		case ThenCrash:
-			_ = scr.listener.Close()
-			return
-		case ThenReset:
-			if tcp, ok := soc.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			return
-		case ThenHang:
-			_, _ = red.ReadByte()
+		if end != "" {
+			scr.end(soc, red, end)
 			return
 		}
 	}
 }
 
+// end plays the ending of an answer. Its caller closes the connection.
+func (scr *ScriptedServer) end(soc net.Conn, red io.Reader, end string) {
+	tcp, ok := soc.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if end == ThenHalfClose || end == ThenHalfCloseReset {
+		_ = tcp.CloseWrite()
+	}
+	switch end {
+	case ThenResetLater, ThenHalfCloseReset:
+		time.Sleep(laterDelay)
+	case ThenHalfClose:
+		_, _ = io.Copy(io.Discard, red)
+	case ThenHang:
+		_, _ = red.Read(make([]byte, 1))
+	case ThenCrash:
+		_ = scr.listener.Close()
+	}
+	if end == ThenReset || end == ThenResetLater || end == ThenHalfCloseReset {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // nextAnswer records a request and returns the next answer.
 func (scr *ScriptedServer) nextAnswer(req *http.Request) (txt string, more bool) {
 	scr.mut.Lock()
--- a/internal/router/send/head_test.go
+++ b/internal/router/send/head_test.go
@@ -18,11 +18,17 @@
 
 // startFront serves one call on real connections. It is closed when the test ends.
 func startFront(t *testing.T, snd *send.Sender, rou router.Route) (url string) {
+	t.Helper()
+	return startFrontWith(t, snd, rou, "body")
+}
+
+// startFrontWith is startFront for a call with a body.
+func startFrontWith(t *testing.T, snd *send.Sender, rou router.Route, body string) (url string) {
 	t.Helper()
 	rou.Attempts = max(rou.Attempts, 1)
 	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		snd.Serve(req.Context(), send.Job{Service: "svc", Route: &rou, Call: &router.Call{
-			ID: "call", Method: http.MethodPost, Host: "h", Target: "/", Body: []byte("body"),
+			ID: "call", Method: http.MethodPost, Host: "h", Target: "/", Body: []byte(body),
 			Header: http.Header{fakes.HeaderID: {"call"}}, Arrived: time.Now(), Deadline: time.Now().Add(jobTimeout),
 		}}, wri)
 	}))
--- a/internal/router/send/malformed_test.go
+++ b/internal/router/send/malformed_test.go
@@ -198,3 +198,44 @@
 		}
 	}
 }
+
+// TestResetDuringUploadIsNoAnswer guards against a part of an answer that counts as complete: a long upload is answered at once by a 200
+// without a length, and the connection is reset while the upload is still being written. An answer that ends in order stays as it is.
+func TestResetDuringUploadIsNoAnswer(t *testing.T) {
+	const (
+		// uploads is how often each case is repeated: whether the write or the read gets the reset differs.
+		uploads = 10
+		part    = head + "\r\nid: 1\na\n\n"
+	)
+	cases := map[string]struct {
+		ending   string
+		complete bool
+	}{
+		"reset":                {fakes.ThenReset, false},
+		"reset later":          {fakes.ThenResetLater, false},
+		"half-close":           {fakes.ThenHalfClose, true},
+		"half-close and reset": {fakes.ThenHalfCloseReset, true},
+	}
+	upload := strings.Repeat("x", 4<<20)
+	for name, cas := range cases {
+		for nameRoute, rou := range malformedRoutes {
+			t.Run(name+" "+nameRoute, func(t *testing.T) {
+				t.Parallel()
+				for range uploads {
+					que := &responseQueue{responses: []string{strings.ReplaceAll(part, "{ID}", "call") + cas.ending, fakes.ThenReset}}
+					scrs := que.upstreams(t, 2)
+					grd, stop := guard.New(timer.Real{}, send.MaxCrashes)
+					status, body, complete := callFront(t, startFrontWith(t, newSender(grd, scrs...), rou, upload))
+					stop()
+					whole := status == http.StatusOK && complete
+					if whole != cas.complete || whole && body != "id: 1\na\n\n" {
+						t.Fatalf("status %d, body %q, complete %t", status, body, complete)
+					}
+					if !whole && !rou.Stream && status != http.StatusBadGateway {
+						t.Fatalf("status %d, want an unknown outcome", status)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/router/strict/conn.go
+++ b/internal/router/strict/conn.go
@@ -8,7 +8,8 @@
 	"github.com/go-faster/errors"
 )
 
-// Conn is a connection of an HTTP/1 client whose reads fail if the head of a response is malformed.
+// Conn is a connection of an HTTP/1 client whose reads fail if the head of a response is malformed, or if the connection ended
+// other than in order. One goroutine may read while another one writes.
 type Conn struct {
 	net.Conn
 
@@ -18,9 +19,9 @@
 	broken error
 }
 
-// NewConn returns a Conn that checks nothing until Begin is called.
+// NewConn returns a Conn on a socket. It checks no head until Begin is called.
 func NewConn(soc net.Conn) *Conn {
-	return &Conn{Conn: soc}
+	return &Conn{Conn: &socket{Conn: soc}}
 }
 
 // Begin expects the head of a response, or several if informational responses come first. It is called before the request is
@@ -58,9 +59,13 @@
 
 // SyscallConn implements syscall.Conn if the underlying connection does.
 func (con *Conn) SyscallConn() (raw syscall.RawConn, err error) {
-	soc, ok := con.Conn.(syscall.Conn)
+	return syscallConn(con.Conn)
+}
+
+func syscallConn(con net.Conn) (raw syscall.RawConn, err error) {
+	soc, ok := con.(syscall.Conn)
 	if !ok {
-		return nil, errors.Errorf("%T has no descriptor", con.Conn)
+		return nil, errors.Errorf("%T has no descriptor", con)
 	}
 	return soc.SyscallConn()
 }
--- a/internal/router/strict/doc.go
+++ b/internal/router/strict/doc.go
@@ -5,6 +5,9 @@
 // comes next; the bytes after a head are not checked. A read that meets a defect fails, so that the response ends with an error
 // and the outcome of the request is unknown.
 //
+// A body without a length or chunks ends with its connection. A Conn tells an end in order from a reset that the system reported to a
+// write of the request.
+//
 // Body checks what comes after the last chunk of a body in chunks.
 //
 // Transport makes an http.Transport use such connections.
--- a/internal/router/strict/transport.go
+++ b/internal/router/strict/transport.go
@@ -33,12 +33,12 @@
 		if err != nil {
 			return nil, err
 		}
-		con, err := startTLS(ctx, soc, address, base.TLSClientConfig)
+		con, err := startTLS(ctx, &socket{Conn: soc}, address, base.TLSClientConfig)
 		if err != nil {
 			_ = soc.Close()
 			return nil, err
 		}
-		return NewConn(con), nil
+		return &Conn{Conn: con}, nil
 	}
 	return &RoundTripper{base: base}
 }
