Heads of responses are bounded in number too

What callers saw: an upstream in trouble sends a head of many short fields that does not end. Many requests at once take a node past its memory, and the requests of other callers on it end with the process.

Cause: a head is bounded in bytes (64 KiB), but a field of four bytes takes about 200 in net/http, and nothing counts the memory of all heads together. http.Transport, which the product's own interface and the clients of the platform use, took heads of up to 10 MB before package strict.

Evidence: TestEndlessHeads starts the node with 64 MiB and answers 400 requests at once.

Fix: package strict bounds the fields of a response to 256, over all its heads, for all clients. Package send reserves the memory of a head beyond about 5 KB in the budget for answers, which waits for it like for a body; if there is none, the outcome is unknown and the upstream is not blamed. The answer is opened before the request is sent, so that both share one hold.

TestLongHead and TestReservedMemory of strict check the bounds.

--- a/internal/flood/crowd_test.go
+++ b/internal/flood/crowd_test.go
@@ -121,9 +121,7 @@
 // to a number of bytes.
 func sendFields(most int) func(wri io.Writer, num int) error {
 	var txt bytes.Buffer
-	for num := 0; txt.Len() < min(most, 1<<20); num++ {
-		txt.WriteString(strconv.FormatInt(int64(num), 36) + ":\r\n")
-	}
+	_ = writeFields(&txt, min(most, 1<<20))
 	return func(wri io.Writer, num int) error {
 		if _, err := io.WriteString(wri, head("lookup", num)); err != nil {
 			return err
@@ -137,6 +135,16 @@
 	}
 }
 
+// writeFields writes fields with different short names, of about a number of bytes together.
+func writeFields(wri io.Writer, size int) (err error) {
+	for num, sent := 0, 0; sent < size && err == nil; num++ {
+		var one int
+		one, err = io.WriteString(wri, strconv.FormatInt(int64(num), 36)+":\r\n")
+		sent += one
+	}
+	return err
+}
+
 // sendLines sends empty lines until the node closes the connection.
 func sendLines(wri io.Writer, _ int) error {
 	for txt := bytes.Repeat([]byte("\r\n"), 8<<10); ; {
--- /dev/null
+++ b/internal/flood/endless_test.go
@@ -0,0 +1,84 @@
+package flood
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamdyke/hornbeamdyke/platform/mock"
+)
+
+const (
+	// endlessCallers is the number of requests that are answered by bytes without end at once, and endlessDescriptors is enough for
+	// these, each with a connection to its upstream.
+	endlessCallers     = 400
+	endlessDescriptors = 1200
+)
+
+const (
+	okLine  = "HTTP/1.1 200 OK\r\n"
+	okHead  = okLine + "Attempt-Id: {ID}\r\nServer-Signature: s-{UPSTREAM}\r\n"
+	chunked = "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// sendEndless sends a request of a route that gets bytes without end.
+func sendEndless(route string) func(wri io.Writer, num int) error {
+	return func(wri io.Writer, num int) error {
+		_, err := io.WriteString(wri, head(route+"/endless", num)+"Content-Length: 0\r\n\r\n")
+		return err
+	}
+}
+
+// shortFields returns fields with different names that take the most memory for their length.
+func shortFields(size int) string {
+	var txt strings.Builder
+	_ = writeFields(&txt, size)
+	return txt.String()
+}
+
+// endless is an answer of an upstream in trouble.
+type endless struct {
+	route       string
+	start, text string
+	// fast is the number of bytes that are sent as fast as they are read; more come slowly.
+	fast int64
+}
+
+// forever is more than is sent during a test.
+const forever = 1 << 40
+
+// playEndless plays answers without end to many requests at once.
+func playEndless(t *testing.T, cases map[string]endless) {
+	t.Helper()
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			ups := &mock.EndlessUpstream{
+				Upstream: mock.NewUpstream(upstreamID), Start: cas.start, Text: cas.text, Fast: cas.fast, Delay: time.Second,
+			}
+			nod := startNodeWith(t, endlessDescriptors, ups)
+			playOn(t, nod, endlessDescriptors, crowd{size: endlessCallers, send: sendEndless(cas.route), read: true})
+			t.Logf("%d KiB were sent", ups.Sent.Load()>>10)
+		})
+	}
+}
+
+// TestEndlessHeads guards against upstreams in trouble that send bytes without end in place of a head, as fast as they are read, or slowly
+// once they are near the limit of a head.
+func TestEndlessHeads(t *testing.T) {
+	const headEnd = 60 << 10
+	playEndless(t, map[string]endless{
+		"bytes that are no answer":  {"lookup", "", "\x01\x02\x03", forever},
+		"status line":               {"lookup", "HTTP/1.1 200 ", "x", forever},
+		"one field":                 {"lookup", okHead + "Long: ", "x", forever},
+		"one field, then slowly":    {"order", okHead + "Long: ", "x", headEnd},
+		"many fields":               {"lookup", okHead, "Name: value\r\n", forever},
+		"many fields, then slowly":  {"order", okHead, "Name: value\r\n", headEnd},
+		"short fields, then slowly": {"order", okHead + shortFields(headEnd) + "Long: ", "x", 0},
+		"informational":             {"lookup", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", forever},
+		"informational, slowly":     {"order", "HTTP/1.1 103 Early Hints\r\n" + shortFields(headEnd), "x", 0},
+		"trailer":                   {"order", okHead + chunked + "0\r\n", "A: b\r\n", forever},
+		"size of a chunk":           {"order", okHead + chunked, "0", forever},
+		"chunk extension":           {"order", okHead + chunked + "1;", "x", forever},
+	})
+}
--- a/internal/flood/flood_test.go
+++ b/internal/flood/flood_test.go
@@ -34,6 +34,9 @@
 	answerBytes = 2<<20 + 128<<10
 )
 
+// upstreamID is the ID of the upstream.
+const upstreamID = "u-0"
+
 // binary is the path of the executable under test.
 var binary string
 
@@ -62,10 +65,16 @@
 
 // startNode starts a node that answers an ordinary request.
 func startNode(t *testing.T) (nod *Node) {
+	t.Helper()
+	return startNodeWith(t, fileDescriptors, &mock.LargeUpstream{Upstream: mock.NewUpstream(upstreamID), Bytes: answerBytes, Delay: 200 * time.Millisecond})
+}
+
+// startNodeWith starts a node with a number of descriptors and an upstream, whose ID is upstreamID.
+func startNodeWith(t *testing.T, descriptors int, ups http.Handler) (nod *Node) {
 	t.Helper()
 	nod, err := Start(Options{
-		Binary: binary, Dir: t.TempDir(), MemoryMebibytes: memoryMebibytes, FileDescriptors: fileDescriptors,
-		Upstream: &mock.LargeUpstream{Upstream: mock.NewUpstream("u-0"), Bytes: answerBytes, Delay: 200 * time.Millisecond},
+		Binary: binary, Dir: t.TempDir(), MemoryMebibytes: memoryMebibytes, FileDescriptors: descriptors,
+		Upstream: ups, UpstreamID: upstreamID,
 	})
 	t.Cleanup(nod.Stop)
 	if err != nil {
@@ -80,7 +89,12 @@
 // play runs a crowd against a node and checks the bounds.
 func play(t *testing.T, crw crowd) {
 	t.Helper()
-	nod := startNode(t)
+	playOn(t, startNode(t), fileDescriptors, crw)
+}
+
+// playOn is play on a node that was started with a number of descriptors.
+func playOn(t *testing.T, nod *Node, descriptors int, crw crowd) {
+	t.Helper()
 	idle := nod.Peak()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -96,8 +110,8 @@
 	if peak.Bytes > memoryMebibytes<<20 {
 		t.Errorf("the process takes %d MiB of %d", peak.Bytes>>20, memoryMebibytes)
 	}
-	if peak.Descriptors > fileDescriptors {
-		t.Errorf("the process has %d descriptors of %d", peak.Descriptors, fileDescriptors)
+	if peak.Descriptors > descriptors {
+		t.Errorf("the process has %d descriptors of %d", peak.Descriptors, descriptors)
 	}
 }
 
--- a/internal/flood/node.go
+++ b/internal/flood/node.go
@@ -29,8 +29,9 @@
 	Binary, Dir string
 	// MemoryMebibytes and FileDescriptors are settings of the node.
 	MemoryMebibytes, FileDescriptors int
-	// Upstream answers the requests of callers.
-	Upstream *mock.LargeUpstream
+	// Upstream answers the requests of callers, and UpstreamID is its ID.
+	Upstream   http.Handler
+	UpstreamID string
 }
 
 // Node is a router process with a store and an upstream.
@@ -70,7 +71,7 @@
 		return nod, err
 	}
 	str.Set("op", "config", mock.ConfigWithBodies(1, maxBodyBytes))
-	str.Set("servers", opt.Upstream.ID, mock.ServerRecord(ups, "here", false, 1, 1))
+	str.Set("servers", opt.UpstreamID, mock.ServerRecord(ups, "here", false, 1, 1))
 	var adrs [3]string
 	var held [3]net.Listener
 	for idx := range adrs {
--- a/internal/router/conns/conn.go
+++ b/internal/router/conns/conn.go
@@ -36,6 +36,8 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// ReserveHead reserves memory for a long head of the response, see strict.Conn.Begin; it may be nil.
+	ReserveHead func(num int) error
 }
 
 // Conn is a connection to an upstream. It serves one exchange, a request and its response, at a time.
@@ -71,7 +73,7 @@
 	defer errs.Annotate(&err, "exchange")
 	con.stopWatch = context.AfterFunc(ctx, func() { _ = con.socket.Close() })
 	con.writeDone = nil
-	con.socket.Begin()
+	con.socket.Begin(req.ReserveHead)
 	if len(req.Body) > asyncBodyBytes {
 		con.writeDone = make(chan struct{})
 		go func() {
--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -78,6 +78,16 @@
 	return ans.control.Flush()
 }
 
+// grow counts bytes of memory, and waits for them for a short time.
+func (ans *answer) grow(ctx context.Context, num int64) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, memoryWait)
+	defer cancel()
+	if err := ans.hold.Grow(ctx, num); err != nil {
+		return errors.Wrap(errNoMemory, err.Error())
+	}
+	return nil
+}
+
 // extend returns a buffer for events that has room.
 func (ans *answer) extend(buf []byte) []byte {
 	if len(buf) < cap(buf) {
@@ -89,14 +99,14 @@
 	return buf
 }
 
-// readResponse reads the body of a response that is not a stream into memory that is counted in hol. The caller subtracts
+// readResponse reads the body of a response that is not a stream into memory that is counted for ans. The caller subtracts
 // reserved from buffered when it no longer needs the body.
-func (snd *Sender) readResponse(ctx context.Context, rsp *http.Response, hol *intake.Hold) (txt []byte, reserved int64, err error) {
+func (snd *Sender) readResponse(ctx context.Context, rsp *http.Response, ans *answer) (txt []byte, reserved int64, err error) {
 	var buf []byte
 	for {
 		if len(buf) == cap(buf) {
-			if buf, err = enlarge(ctx, buf, rsp.ContentLength, hol); err != nil {
-				return nil, reserved, errors.Wrap(errNoMemory, err.Error())
+			if buf, err = enlarge(ctx, buf, rsp.ContentLength, ans); err != nil {
+				return nil, reserved, err
 			}
 		}
 		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
@@ -120,24 +130,20 @@
 }
 
 // enlarge returns a larger buffer with the same content. The first freeResponseBytes are not waited for.
-func enlarge(ctx context.Context, buf []byte, length int64, hol *intake.Hold) (res []byte, err error) {
+func enlarge(ctx context.Context, buf []byte, length int64, ans *answer) (res []byte, err error) {
 	size := max(initialResponseBuffer, 2*cap(buf))
 	if length >= int64(len(buf)) {
 		// One more byte than the response has room for the read that returns its end.
 		size = min(size, int(length)+1)
 	}
 	if size <= freeResponseBytes {
-		hol.Take(int64(size))
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, memoryWait)
-		defer cancel()
-		if err := hol.Grow(ctx, int64(size)); err != nil {
-			return nil, err
-		}
+		ans.hold.Take(int64(size))
+	} else if err := ans.grow(ctx, int64(size)); err != nil {
+		return nil, err
 	}
 	res = make([]byte, len(buf), size)
 	copy(res, buf)
-	hol.Shrink(int64(cap(buf)))
+	ans.hold.Shrink(int64(cap(buf)))
 	return res, nil
 }
 
--- a/internal/router/send/attempt.go
+++ b/internal/router/send/attempt.go
@@ -110,13 +110,22 @@
 		TimeLimit:   max(time.Millisecond, act.deadline().Sub(opt.Timers.Now())),
 		LastEventID: act.lastEventID,
 	})
+	ans := act.openAnswer()
+	defer ans.close()
 	sent := opt.Timers.Now()
 	opt.Terms.CountSend(ins)
-	rsp, err := con.Send(ctx, conns.Request{Method: cal.Method, Host: cal.Host, Target: cal.Target, Header: hdr, Body: cal.Body})
+	rsp, err := con.Send(ctx, conns.Request{
+		Method: cal.Method, Host: cal.Host, Target: cal.Target, Header: hdr, Body: cal.Body,
+		ReserveHead: func(num int) error { return ans.grow(ctx, int64(num)) },
+	})
 	if err != nil {
 		con.Close()
 		act.countUnanswered(err)
-		return act.failAttempt(ctx, "no answer", ins, err)
+		sta, res = act.failAttempt(ctx, "no answer", ins, err)
+		if errors.Is(err, errNoMemory) {
+			res = place.Inconclusive
+		}
+		return sta, res
 	}
 	chk := opt.Dialect.CheckAnswer(cal, rsp)
 	// A rejection that names no request may be a repetition of an earlier one on the connection.
@@ -143,12 +152,12 @@
 		con.Close()
 		return act.failAttempt(ctx, "answer not the upstream's", ins, errors.Errorf("status %d", rsp.StatusCode))
 	case act.job.Route.Stream && rsp.StatusCode == http.StatusOK:
-		return act.relayStream(ctx, ins, con, rsp, rsv)
+		return act.relayStream(ctx, ins, con, rsp, rsv, ans)
 	case act.responseStarted:
 		con.Close()
 		return act.failAttempt(ctx, "stream not continued", ins, errors.Errorf("status %d", rsp.StatusCode))
 	default:
-		return act.relayWhole(ctx, ins, con, rsp)
+		return act.relayWhole(ctx, ins, con, rsp, ans)
 	}
 }
 
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -49,10 +49,8 @@
 
 // relayWhole buffers a response until it is complete and then relays it, so that an incomplete one can still
 // be retried.
-func (act *activeCall) relayWhole(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response) (attemptState, place.Result) {
-	ans := act.openAnswer()
-	defer ans.close()
-	txt, reserved, err := act.sender.readResponse(ctx, rsp, ans.hold)
+func (act *activeCall) relayWhole(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response, ans *answer) (attemptState, place.Result) {
+	txt, reserved, err := act.sender.readResponse(ctx, rsp, ans)
 	defer func() { act.sender.buffered.Add(-reserved) }()
 	if err != nil {
 		con.Close()
@@ -115,9 +113,7 @@
 
 // relayStream relays server-sent events as they arrive. Only complete events are relayed, so that a stream can
 // resume after the last one.
-func (act *activeCall) relayStream(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response, rsv *place.Reservation) (attemptState, place.Result) {
-	ans := act.openAnswer()
-	defer ans.close()
+func (act *activeCall) relayStream(ctx context.Context, ins router.Instance, con *conns.Conn, rsp *http.Response, rsv *place.Reservation, ans *answer) (attemptState, place.Result) {
 	buf := make([]byte, 0, initialEventBuffer)
 	resumed := act.responseStarted
 	for {
--- a/internal/router/strict/conn.go
+++ b/internal/router/strict/conn.go
@@ -26,13 +26,17 @@
 
 // Begin expects the head of a response, or several if informational responses come first. It is called before the request is
 // written.
-func (con *Conn) Begin() {
+//
+// A Read calls reserve, unless it is nil, before it returns bytes of a long head for which about num more bytes of memory are needed, and
+// fails with its error.
+func (con *Conn) Begin(reserve func(num int) error) {
 	con.headMut.Lock()
 	defer con.headMut.Unlock()
-	con.head = headCheck{active: true}
+	con.head = headCheck{active: true, reserve: reserve}
 }
 
-// Read implements io.Reader. It returns the bytes before the defect of a malformed head, and then a *MalformedError.
+// Read implements io.Reader. It returns the bytes before the defect of a malformed head, and then a *MalformedError
+// or the error of reserve.
 func (con *Conn) Read(buf []byte) (num int, err error) {
 	if err := con.defect(); err != nil {
 		return 0, err
--- a/internal/router/strict/head.go
+++ b/internal/router/strict/head.go
@@ -6,8 +6,17 @@
 	"strings"
 )
 
-// MaxHeadBytes bounds the bytes from the start of a response to the end of its head, informational responses included.
-const MaxHeadBytes = 64 << 10
+const (
+	// MaxHeadBytes bounds the bytes from the start of a response to the end of its head, informational responses included.
+	MaxHeadBytes = 64 << 10
+	// MaxFields bounds the fields in these bytes.
+	MaxFields = 256
+	// byteCost and fieldCost are the memory in bytes that package net/http takes for a byte and for a field of a head, in strings,
+	// buffers and maps. costStep is the memory that is reserved at once; the first step is free.
+	byteCost  = 3
+	fieldCost = 200
+	costStep  = 16 << 10
+)
 
 // maxStatus is the highest status code of RFC 9110.
 const maxStatus = 599
@@ -29,8 +38,11 @@
 type headCheck struct {
 	// active is set until the head of the final response has ended.
 	active bool
-	// total is the number of bytes so far.
-	total int
+	// total is the number of bytes so far, and fields that of fields.
+	total, fields int
+	// reserve, if not nil, reserves memory beyond the bytes in reserved, of which costStep are free.
+	reserve  func(num int) error
+	reserved int
 	// inFields is set after the status line, whose status is status.
 	inFields bool
 	status   int
@@ -62,6 +74,9 @@
 	if chk.total++; chk.total > MaxHeadBytes {
 		return malformed("its head exceeds %d bytes", MaxHeadBytes)
 	}
+	if err := chk.reserveMemory(); err != nil {
+		return err
+	}
 	if one == '\n' {
 		return chk.endLine()
 	}
@@ -85,6 +100,15 @@
 	return nil
 }
 
+// reserveMemory reserves the memory for the head so far.
+func (chk *headCheck) reserveMemory() error {
+	if chk.reserve == nil || byteCost*chk.total+fieldCost*chk.fields <= costStep+chk.reserved {
+		return nil
+	}
+	chk.reserved += costStep
+	return chk.reserve(costStep)
+}
+
 // nextOfName checks a byte of the name of a field, or the colon after it. A line that begins with a blank would continue the value of
 // the field before. No sender may do so (RFC 9112, section 5.2), and it may be a field with a malformed name.
 func (chk *headCheck) nextOfName(one byte) error {
@@ -98,9 +122,12 @@
 	return nil
 }
 
-// endName checks the name of a field. HTTP/1.0 has no transfer codings, and package net/http ignores the field there, although an
+// endName counts a field and checks its name. HTTP/1.0 has no transfer codings, and package net/http ignores the field there, although an
 // upstream that states one sends its body in chunks (RFC 9112, section 6.1).
 func (chk *headCheck) endName() error {
+	if chk.fields++; chk.fields > MaxFields {
+		return malformed("its head has more than %d fields", MaxFields)
+	}
 	if chk.oldVersion && strings.EqualFold(chk.line(), "Transfer-Encoding:") {
 		return malformed("it states a transfer coding in HTTP/1.0")
 	}
--- a/internal/router/strict/strict_test.go
+++ b/internal/router/strict/strict_test.go
@@ -177,7 +177,7 @@
 		for size := 1; size <= len(text); size++ {
 			one, two := net.Pipe()
 			con := strict.NewConn(one)
-			con.Begin()
+			con.Begin(nil)
 			go func() {
 				for rest := text; rest != ""; rest = rest[min(size, len(rest)):] {
 					if _, err := two.Write([]byte(rest[:min(size, len(rest))])); err != nil {
@@ -198,3 +198,70 @@
 		}
 	}
 }
+
+// TestLongHead guards against heads that take much memory: more bytes than MaxHeadBytes, or more fields than MaxFields.
+func TestLongHead(t *testing.T) {
+	fields := func(num int) (txt string) { return strings.Repeat("A: b\r\n", num) }
+	const statusLine, length = "HTTP/1.1 200 OK\r\n", "Content-Length: 2\r\n"
+	cases := map[string]struct {
+		text  string
+		sound bool
+	}{
+		"most fields":                           {statusLine + length + fields(strict.MaxFields-1) + "\r\nok", true},
+		"too many fields":                       {statusLine + length + fields(strict.MaxFields) + "\r\nok", false},
+		"too many fields in informational ones": {strings.Repeat("HTTP/1.1 103 Hint\r\nA: b\r\n\r\n", strict.MaxFields) + statusLine + length + "\r\nok", false},
+		"too many bytes":                        {statusLine + length + "A: " + strings.Repeat("b", strict.MaxHeadBytes) + "\r\n\r\nok", false},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			scr := fakes.NewScriptedServer(t, cas.text)
+			trp := strict.Transport(&http.Transport{})
+			defer trp.CloseIdleConnections()
+			if body, err := get(t, trp, "http://"+scr.Address); (err == nil) != cas.sound {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
+
+// TestReservedMemory guards against long heads whose memory is not reserved, and against reserving any for short ones.
+func TestReservedMemory(t *testing.T) {
+	errFull := errors.New("full")
+	cases := map[string]struct {
+		text string
+		// free is the memory that may be reserved; least and most are what is reserved if it suffices.
+		free, least, most int
+	}{
+		"short head":      {lenient["length"], 0, 0, 0},
+		"long line":       {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 60000) + "\r\n\r\n", 1 << 20, 120000, 240000},
+		"many fields":     {"HTTP/1.1 200 OK\r\n" + strings.Repeat("A:\r\n", 250) + "\r\n", 1 << 20, 30000, 80000},
+		"no memory, long": {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 60000) + "\r\n\r\n", 50000, 0, 0},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			one, two := net.Pipe()
+			defer func() { _ = one.Close() }()
+			con, reserved := strict.NewConn(one), 0
+			con.Begin(func(num int) error {
+				if reserved += num; reserved > cas.free {
+					return errFull
+				}
+				return nil
+			})
+			go func() {
+				_, _ = two.Write([]byte(cas.text))
+				_ = two.Close()
+			}()
+			txt, err := io.ReadAll(con)
+			if name == "no memory, long" {
+				if !errors.Is(err, errFull) {
+					t.Errorf("%d bytes, error %v", len(txt), err)
+				}
+				return
+			}
+			if err != nil || string(txt) != cas.text || reserved < cas.least || reserved > cas.most {
+				t.Errorf("%d bytes, error %v, %d bytes of memory were reserved", len(txt), err, reserved)
+			}
+		})
+	}
+}
--- a/internal/router/strict/transport.go
+++ b/internal/router/strict/transport.go
@@ -63,7 +63,7 @@
 func (trp *RoundTripper) RoundTrip(req *http.Request) (rsp *http.Response, err error) {
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(inf httptrace.GotConnInfo) {
 		if con, ok := inf.Conn.(*Conn); ok {
-			con.Begin()
+			con.Begin(nil)
 		}
 	}})
 	rsp, err = trp.base.RoundTrip(req.WithContext(ctx))
