Large events and bodies wait for memory from 16 KiB on

What callers saw: upstreams in trouble send an event that does not end, or a body, to many requests at once. The node goes past its memory, and the requests of other callers on it end with the process.

Cause: the buffer for the events of a stream grew up to 256 KiB without regard to the budget, and that of a body up to 64 KiB. 400 of them take more than the part of the memory that the budget gives to requests and answers.

Evidence: TestEndlessEvents and TestEndlessBodies start the node with 64 MiB and answer 400 requests at once.

Fix: buffers of events grow like those of bodies: from 16 KiB on they wait for the budget for a short time. A stream that gets no memory ends like one that is cut, without blame for the upstream. The budget already answers at once while its bound is not reached.

--- a/internal/flood/endless_test.go
+++ b/internal/flood/endless_test.go
@@ -17,9 +17,13 @@
 )
 
 const (
-	okLine  = "HTTP/1.1 200 OK\r\n"
-	okHead  = okLine + "Attempt-Id: {ID}\r\nServer-Signature: s-{UPSTREAM}\r\n"
-	chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	okLine    = "HTTP/1.1 200 OK\r\n"
+	okHead    = okLine + "Attempt-Id: {ID}\r\nServer-Signature: s-{UPSTREAM}\r\n"
+	chunked   = "Transfer-Encoding: chunked\r\n\r\n"
+	kilobyte  = "400\r\n" + eightLines + eightLines + eightLines + eightLines + eightLines + eightLines + eightLines + eightLines + "\r\n"
+	eightLine = "data: 89abcdef\n"
+	// eightLines has 128 bytes, without an empty line.
+	eightLines = eightLine + eightLine + eightLine + eightLine + eightLine + eightLine + eightLine + eightLine + "data: .\n"
 )
 
 // sendEndless sends a request of a route that gets bytes without end.
@@ -82,3 +86,28 @@
 		"chunk extension":           {"order", okHead + chunked + "1;", "x", forever},
 	})
 }
+
+// TestEndlessEvents guards against streams that hold an event without end.
+func TestEndlessEvents(t *testing.T) {
+	playEndless(t, map[string]endless{
+		"events":             {"stream", okHead + "\r\nid: 1\n", "data: x\n\n", forever},
+		"event":              {"stream", okHead + "\r\nid: 1\n", "data: x\n", forever},
+		"event in chunks":    {"onestream", okHead + chunked, kilobyte, forever},
+		"event, then slowly": {"onestream", okHead + "\r\nid: 1\n", "data: x\n", 250 << 10},
+		"event of one line":  {"onestream", okHead + "\r\nid: 1\ndata: ", "x", forever},
+	})
+}
+
+// TestEndlessBodies guards against bodies without end.
+func TestEndlessBodies(t *testing.T) {
+	playEndless(t, map[string]endless{
+		"no length":                {"lookup", okHead + "\r\n", "x", forever},
+		"no length, order":         {"order", okHead + "\r\n", "x", forever},
+		"chunks":                   {"order", okHead + chunked, kilobyte, forever},
+		"huge length":              {"order", okHead + "Content-Length: 9000000000000000000\r\n\r\n", "x", forever},
+		"1 MiB, then slowly":       {"order", okHead + "\r\n", "x", 1 << 20},
+		"64 KiB, then slowly":      {"order", okHead + "\r\n", "x", 64<<10 - 1},
+		"error of the upstream":    {"order", strings.Replace(okHead, "200 OK", "500 Error", 1) + "\r\n", "x", forever},
+		"rejection, then its body": {"order", strings.Replace(okHead, "200 OK", "503 Full", 1) + "Not-Executed: 1\r\n\r\n", "x", forever},
+	})
+}
--- a/internal/router/send/answer.go
+++ b/internal/router/send/answer.go
@@ -18,6 +18,9 @@
 	unreadTimeout = 30 * time.Second
 	// memoryWait is how long an answer that is not a stream waits for memory before it is given up.
 	memoryWait = 2 * time.Second
+	// unwaitedBytes is the size up to which the buffer of an answer does not wait for memory. Ordinary answers and events are
+	// smaller.
+	unwaitedBytes = 16 << 10
 	// writePiece is the number of bytes after which a write to the caller counts as progress.
 	writePiece = 64 << 10
 	// initialResponseBuffer is the initial capacity of the buffer for a response, in bytes.
@@ -88,15 +91,17 @@
 	return nil
 }
 
-// extend returns a buffer for events that has room.
-func (ans *answer) extend(buf []byte) []byte {
-	if len(buf) < cap(buf) {
-		return buf
+// fill reads more of a body into a buffer, which it enlarges if it is full.
+func (ans *answer) fill(ctx context.Context, buf []byte, bdy io.Reader) (res []byte, err error) {
+	if len(buf) == cap(buf) {
+		larger, err := ans.enlarge(ctx, buf, -1)
+		if err != nil {
+			return buf, err
+		}
+		buf = larger
 	}
-	old := cap(buf)
-	buf = append(buf, 0)[:len(buf)]
-	ans.hold.Take(int64(cap(buf) - old))
-	return buf
+	num, err := bdy.Read(buf[len(buf):cap(buf)])
+	return buf[:len(buf)+num], err
 }
 
 // readResponse reads the body of a response that is not a stream into memory that is counted for ans. The caller subtracts
@@ -105,7 +110,7 @@
 	var buf []byte
 	for {
 		if len(buf) == cap(buf) {
-			if buf, err = enlarge(ctx, buf, rsp.ContentLength, ans); err != nil {
+			if buf, err = ans.enlarge(ctx, buf, rsp.ContentLength); err != nil {
 				return nil, reserved, err
 			}
 		}
@@ -129,14 +134,15 @@
 	}
 }
 
-// enlarge returns a larger buffer with the same content. The first freeResponseBytes are not waited for.
-func enlarge(ctx context.Context, buf []byte, length int64, ans *answer) (res []byte, err error) {
+// enlarge returns a larger buffer with the same content, of a response with a length or less than zero. The first unwaitedBytes are not
+// waited for.
+func (ans *answer) enlarge(ctx context.Context, buf []byte, length int64) (res []byte, err error) {
 	size := max(initialResponseBuffer, 2*cap(buf))
 	if length >= int64(len(buf)) {
 		// One more byte than the response has room for the read that returns its end.
 		size = min(size, int(length)+1)
 	}
-	if size <= freeResponseBytes {
+	if size <= unwaitedBytes {
 		ans.hold.Take(int64(size))
 	} else if err := ans.grow(ctx, int64(size)); err != nil {
 		return nil, err
--- a/internal/router/send/attempt.go
+++ b/internal/router/send/attempt.go
@@ -121,11 +121,7 @@
 	if err != nil {
 		con.Close()
 		act.countUnanswered(err)
-		sta, res = act.failAttempt(ctx, "no answer", ins, err)
-		if errors.Is(err, errNoMemory) {
-			res = place.Inconclusive
-		}
-		return sta, res
+		return act.failAttempt(ctx, "no answer", ins, err)
 	}
 	chk := opt.Dialect.CheckAnswer(cal, rsp)
 	// A rejection that names no request may be a repetition of an earlier one on the connection.
@@ -172,7 +168,7 @@
 	if act.responseStarted {
 		sta = interrupted
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, errNoMemory) {
 		return sta, place.Inconclusive
 	}
 	return sta, place.Failed
--- a/internal/router/send/response.go
+++ b/internal/router/send/response.go
@@ -54,11 +54,7 @@
 	defer func() { act.sender.buffered.Add(-reserved) }()
 	if err != nil {
 		con.Close()
-		sta, res := act.failAttempt(ctx, "answer cut", ins, err)
-		if errors.Is(err, errNoMemory) {
-			res = place.Inconclusive
-		}
-		return sta, res
+		return act.failAttempt(ctx, "answer cut", ins, err)
 	}
 	written := con.RequestWritten()
 	con.Release(rsp)
@@ -117,9 +113,8 @@
 	buf := make([]byte, 0, initialEventBuffer)
 	resumed := act.responseStarted
 	for {
-		buf = ans.extend(buf)
-		num, err := rsp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+num]
+		var err error
+		buf, err = ans.fill(ctx, buf, rsp.Body)
 		if end := lastEventEnd(buf); end > 0 {
 			act.countRun()
 			if resumed && !continuesAfter(buf[:end], act.lastEventID) {
