The text of a chat is kept up to a bound

What callers saw: an upstream in trouble streams tokens without end. A node that serves the product's own interface keeps them all, for a caller that wants a whole answer and, in a second copy, for an upstream that could continue the text, until the process runs out of memory with the requests of all other callers.

Cause: the collector of a chat that is not streamed and the session of each chat appended to their text without a limit.

Fix: a collected chat is bounded by Limits.AnswerBytes, like all other answers that are read whole; beyond it the outcome is unknown (502). A session keeps up to 512 KiB of text and drops it beyond that: the stream goes on as it is, but is not recalled, moved or continued any more. A recall that crosses the drop ends the stream with the outcome Unknown rather than sending its text twice. Text that nobody can continue is not kept.

TestLongChat also checks that a long chat is relayed whole and that one that is cut is not sent twice.

--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -103,7 +103,8 @@
 type Limits struct {
 	// BodyBytes is the maximum size of a request body.
 	BodyBytes int
-	// AnswerBytes is the maximum size of the answer to an order, which is stored.
+	// AnswerBytes is the maximum size of an answer that is read whole: that to an order, which is stored, to an idempotent call, and to
+	// a chat that is not streamed.
 	AnswerBytes int
 	// OrderRetention is how long the answer to an order is kept to answer repeats of the order.
 	OrderRetention time.Duration
--- a/internal/flood/crowd_test.go
+++ b/internal/flood/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -15,7 +16,7 @@
 )
 
 const (
-	// loadTime is how long the callers of a crowd connect again after the node has closed their connection.
+	// loadTime is how long, unless a crowd states another time, the callers of a crowd connect again after the node has closed their connection.
 	loadTime = 5 * time.Second
 	// againAfter is the time after which they do.
 	againAfter = 50 * time.Millisecond
@@ -30,12 +31,14 @@
 	send func(wri io.Writer, num int) error
 	// read is set if the callers read the answers.
 	read bool
+	// load is how long the load takes; zero means loadTime.
+	load time.Duration
 }
 
 // start starts the callers. The function returned by it waits until the load has ended, while the connections stay open; they
 // are closed when the context ends.
 func (crw crowd) start(ctx context.Context, address string) (wait func()) {
-	end := time.Now().Add(loadTime)
+	end := time.Now().Add(cmp.Or(crw.load, loadTime))
 	for num := range crw.size {
 		go func() {
 			for time.Now().Before(end) && ctx.Err() == nil {
--- a/internal/flood/endless_test.go
+++ b/internal/flood/endless_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
 	"github.com/hornbeamdyke/hornbeamdyke/platform/mock"
 )
 
@@ -57,12 +58,10 @@
 	t.Helper()
 	for name, cas := range cases {
 		t.Run(name, func(t *testing.T) {
-			ups := &mock.EndlessUpstream{
-				Upstream: mock.NewUpstream(upstreamID), Start: cas.start, Text: cas.text, Fast: cas.fast, Delay: time.Second,
-			}
-			nod := startNodeWith(t, endlessDescriptors, ups)
+			ans := &fakes.EndlessAnswer{Start: cas.start, Text: cas.text, Fast: cas.fast, Delay: time.Second}
+			nod := startNodeWith(t, endlessDescriptors, &mock.EndlessUpstream{Upstream: mock.NewUpstream(upstreamID), Answer: ans})
 			playOn(t, nod, endlessDescriptors, crowd{size: endlessCallers, send: sendEndless(cas.route), read: true})
-			t.Logf("%d KiB were sent", ups.Sent.Load()>>10)
+			t.Logf("%d KiB were sent", ans.Sent.Load()>>10)
 		})
 	}
 }
--- a/internal/flood/node.go
+++ b/internal/flood/node.go
@@ -109,16 +109,16 @@
 		return nod, err
 	}
 	defer func() { _ = out.Close() }()
-	nod.cmd = exec.Command(opt.Binary, "serve", "--node", settings)
-	nod.cmd.Stdout, nod.cmd.Stderr = out, out
 	for _, lis := range held {
 		_ = lis.Close()
 	}
-	return nod, nod.launch()
+	return nod, nod.launch(out, opt.Binary, "serve", "--node", settings)
 }
 
-// launch starts the process and the sampling of what it uses.
-func (nod *Node) launch() (err error) {
+// launch starts a command as the process, and the sampling of what it uses.
+func (nod *Node) launch(out *os.File, name string, args ...string) (err error) {
+	nod.cmd = exec.Command(name, args...)
+	nod.cmd.Stdout, nod.cmd.Stderr = out, out
 	if err := nod.cmd.Start(); err != nil {
 		return err
 	}
--- a/internal/router/node/malformed_test.go
+++ b/internal/router/node/malformed_test.go
@@ -116,3 +116,32 @@
 		})
 	}
 }
+
+// TestLongChat guards against a long chat that is cut, or that another upstream continues from a part of its text: the text that is kept
+// for a continuation is bounded.
+func TestLongChat(t *testing.T) {
+	const events = 700
+	content := strings.Repeat("x", 1024)
+	tokens := strings.Repeat(`data: {"choices":[{"delta":{"content":"`+content+`"}}]}`+"\n\n", events)
+	stream := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + tokens
+	t.Run("complete", func(t *testing.T) {
+		har := newRawHarness(t, stream+"data: [DONE]\n\n")
+		ans := har.chat("preview", "a")
+		if ans.outcome != router.Ran || !ans.complete || ans.text != strings.Repeat(content, events) {
+			t.Errorf("status %d, outcome %s, complete %t, %d bytes of text", ans.status, ans.outcome, ans.complete, len(ans.text))
+		}
+	})
+	t.Run("cut", func(t *testing.T) {
+		har := newRawHarness(t, stream)
+		ans := har.chat("preview", "a")
+		if ans.outcome != router.Unknown || ans.complete || ans.text != strings.Repeat(content, events) || har.calls.Load() != 1 {
+			t.Errorf("status %d, outcome %s, complete %t, %d bytes of text, %d calls", ans.status, ans.outcome, ans.complete, len(ans.text), har.calls.Load())
+		}
+	})
+	t.Run("collected", func(t *testing.T) {
+		har := newRawHarness(t, stream+strings.Repeat(tokens, 6)+"data: [DONE]\n\n")
+		if ans := rawCalls["collected chat"](har); ans.outcome != router.Unknown || ans.status != http.StatusBadGateway {
+			t.Errorf("beyond the limit: status %d, outcome %s", ans.status, ans.outcome)
+		}
+	})
+}
--- a/internal/router/runner/collect.go
+++ b/internal/router/runner/collect.go
@@ -22,8 +22,11 @@
 	if !cht.textOnly() {
 		return run.forwardChat(ctx, cht)
 	}
-	col := &collector{}
+	col := &collector{limit: run.options.Live.Get().Limits.AnswerBytes}
 	err = run.StreamChat(ctx, cht, col)
+	if col.exceeded {
+		return nil, router.RefuseUnknown(router.CodeUpstream, "upstream %s failed: answer is larger than %d bytes", col.upstream, col.limit)
+	}
 	var upe *UpstreamError
 	if errors.As(err, &upe) {
 		return upe.Answer, nil
@@ -53,6 +56,10 @@
 
 // collector is a Sink that builds a chat completion from the events of a stream.
 type collector struct {
+	// limit bounds the text in bytes; exceeded is set when it was reached.
+	limit    int
+	exceeded bool
+
 	upstream     string
 	firstEvent   string
 	finishReason string
@@ -66,12 +73,20 @@
 	return nil
 }
 
+// errAnswerTooLarge ends a chat whose answer exceeds the limit.
+var errAnswerTooLarge = errors.New("answer is too large")
+
 // Event adds one event to the answer.
 func (col *collector) Event(data string) error {
 	if col.firstEvent == "" {
 		col.firstEvent = data
 	}
-	col.text.WriteString(gjson.Get(data, "choices.0.delta.content").String())
+	content := gjson.Get(data, "choices.0.delta.content").String()
+	if col.text.Len()+len(content) > col.limit {
+		col.exceeded = true
+		return errAnswerTooLarge
+	}
+	col.text.WriteString(content)
 	if fin := gjson.Get(data, "choices.0.finish_reason"); fin.Type == gjson.String {
 		col.finishReason = fin.String()
 	}
--- a/internal/router/runner/run.go
+++ b/internal/router/runner/run.go
@@ -62,17 +62,27 @@
 		return false, &UpstreamError{Answer: res.answer}
 	case endCallerGone:
 		return false, errors.Join(errCallerGone, context.Cause(ctx))
-	case endRecalled:
-		run.requeue(ses, res.attempt)
-		return true, nil
-	case endSlow:
-		run.options.Log.Info("stream moved", "Request", ses.chat.ID, "Upstream", res.attempt.grant.Upstream().Name, "Tokens", ses.tokens)
-		return true, nil
+	case endRecalled, endSlow:
+		return run.handleMove(ses, res)
 	default:
 		return run.handleFailure(ses, res)
 	}
 }
 
+// handleMove prepares a request that leaves its upstream for another one. If its text became too long in the meantime, nobody can
+// continue it.
+func (run *Runner) handleMove(ses *session, res result) (retry bool, err error) {
+	if !ses.resumable() {
+		return run.handleFailure(ses, res)
+	}
+	if res.reason == endRecalled {
+		run.requeue(ses, res.attempt)
+		return true, nil
+	}
+	run.options.Log.Info("stream moved", "Request", ses.chat.ID, "Upstream", res.attempt.grant.Upstream().Name, "Tokens", ses.tokens)
+	return true, nil
+}
+
 // requeue prepares a recalled request for another wait in the queue. It keeps its arrival time and so its
 // place in the queue, unless it has generated LongTokens tokens already: then it queues as if it arrived now.
 func (run *Runner) requeue(ses *session, att *attempt) {
@@ -228,8 +238,13 @@
 		Started:      ses.sent.Load(),
 		CrashSuspect: run.options.Guard.IsSuspect(ses.digest),
 	}
-	if ses.chat.Class.Recallable && ses.textOnly && ses.chat.Pool.Extensions {
-		req.Recall = slt.hook.recall
+	if ses.chat.Class.Recallable && ses.continuable() {
+		hook := slt.hook
+		req.Recall = func() {
+			if ses.continuable() {
+				hook.recall()
+			}
+		}
 	}
 	slt.grant, err = run.options.Scheduler.Acquire(ctx, req)
 	return slt, err
--- a/internal/router/runner/session.go
+++ b/internal/router/runner/session.go
@@ -20,6 +20,10 @@
 	Event(data string) error
 }
 
+// maxResumableBytes is the length of the text up to which an answer can be continued by another upstream. A longer one is relayed but
+// no longer kept.
+const maxResumableBytes = 512 << 10
+
 // noWinner is stored as the winner of a round that ended without one.
 var noWinner = &attempt{}
 
@@ -47,9 +51,12 @@
 	avoid map[string]bool
 	// responseBegun is set when sink.Begin was called.
 	responseBegun bool
-	// text is the text that was relayed in all rounds; tokens is the number of events that carried it.
+	// text is the text that was relayed in all rounds, while another upstream can continue it; tokens is the number of events that
+	// carried it.
 	text   strings.Builder
 	tokens int
+	// textDropped is set once the text exceeds maxResumableBytes.
+	textDropped atomic.Bool
 	// resumedText is the text that earlier rounds relayed, of resumedTokens tokens.
 	resumedText   string
 	resumedTokens int
@@ -72,7 +79,24 @@
 // resumable reports whether another attempt can be sent: nothing was relayed yet, or another upstream can
 // continue the answer.
 func (ses *session) resumable() bool {
-	return !ses.responseBegun || ses.textOnly && ses.chat.Pool.Extensions
+	return !ses.responseBegun || ses.continuable()
+}
+
+// continuable reports whether another upstream can continue the text that was relayed.
+func (ses *session) continuable() bool {
+	return ses.textOnly && ses.chat.Pool.Extensions && !ses.textDropped.Load()
+}
+
+// keepText keeps relayed text for an upstream that continues it.
+func (ses *session) keepText(content string) {
+	switch {
+	case !ses.continuable():
+	case ses.text.Len()+len(content) > maxResumableBytes:
+		ses.textDropped.Store(true)
+		ses.text.Reset()
+	default:
+		ses.text.WriteString(content)
+	}
 }
 
 // relay passes one event of the winning attempt to the caller.
@@ -92,7 +116,7 @@
 		}
 	}
 	if content != "" {
-		ses.text.WriteString(content)
+		ses.keepText(content)
 		ses.tokens++
 	}
 	return ses.sink.Event(data)
--- a/internal/router/runner/watch.go
+++ b/internal/router/runner/watch.go
@@ -70,7 +70,7 @@
 	if cls.BetweenTokens == 0 || cls.Recallable || num < minSlowTokens || att.context.Err() != nil {
 		return false
 	}
-	if !att.session.textOnly || !att.session.chat.Pool.Extensions {
+	if !att.session.continuable() {
 		return false
 	}
 	lst := time.Unix(0, att.lastEventAt.Load())
