An upstream's error to a chat is relayed whole or not at all

What callers saw: the first 64 KiB of an upstream's longer error to a chat, as a complete answer with the outcome Ran.

Cause: the body of an error was read through a limit that ends like the body itself.

Evidence: TestLongErrorIsWhole: 65,536 bytes of 100 KiB and of 5 MiB, status 400.

Fix: it is read like other answers, up to Limits.AnswerBytes, and beyond that it is a failure of the upstream, whose outcome is unknown.

Test: both cases failed before and pass.

--- a/internal/router/node/malformed_test.go
+++ b/internal/router/node/malformed_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -145,3 +146,24 @@
 		}
 	})
 }
+
+// TestLongErrorIsWhole guards against the begin of an upstream's error that counts as all of it.
+func TestLongErrorIsWhole(t *testing.T) {
+	cases := map[string]struct {
+		size, status int
+		outcome      router.Outcome
+	}{
+		"100 KiB":          {100 << 10, http.StatusBadRequest, router.Ran},
+		"beyond the limit": {5 << 20, http.StatusBadGateway, router.Unknown},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Repeat("x", cas.size)
+			har := newRawHarness(t, "HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+			ans := har.chat("preview", "a")
+			if ans.status != cas.status || ans.outcome != cas.outcome || cas.outcome == router.Ran && ans.body != body {
+				t.Errorf("status %d, outcome %s, body of %d bytes", ans.status, ans.outcome, len(ans.body))
+			}
+		})
+	}
+}
--- a/internal/router/runner/attempt.go
+++ b/internal/router/runner/attempt.go
@@ -30,7 +30,6 @@
 	// doneData is the data of the event that ends a chat-completions stream.
 	doneData      = "[DONE]"
 	maxEventBytes = 1 << 20
-	maxErrorBytes = 64 << 10
 )
 
 // endReason is how an attempt ended.
@@ -255,7 +254,7 @@
 
 // handleErrorStatus returns a client error for the caller; status 429 and server errors are failures.
 func (att *attempt) handleErrorStatus(rsp *relay.Response) result {
-	bdy, err := io.ReadAll(io.LimitReader(rsp.Body, maxErrorBytes))
+	bdy, err := readAnswer(rsp.Body, att.runner.options.Live.Get().Limits.AnswerBytes)
 	if err != nil {
 		return att.classify(err, true)
 	}
