Answers beyond a limit fail in place of ending there

What callers saw: nothing directly. The platform's object store, or the source of the VM list, in trouble sends an answer without end, and the node reads it until its memory is gone.

Cause: objects and the VM list were read without a limit; all others through io.LimitReader, which ends as if the answer had ended.

--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -165,7 +164,7 @@
 		return 0, err
 	}
 	defer rsp.Body.Close()
-	txt, err := io.ReadAll(io.LimitReader(rsp.Body, maxCopyBytes))
+	txt, err := strict.ReadAll(rsp.Body, maxCopyBytes)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/router/mesh/malformed_test.go
+++ b/internal/router/mesh/malformed_test.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"bytes"
+	"compress/gzip"
 	"log/slog"
 	"strconv"
+	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -61,3 +64,53 @@
 		t.Run(name, func(t *testing.T) { checkNoCopy(t, "HTTP/1.1 200 OK", line) })
 	}
 }
+
+// TestEndlessCopy guards against a peer's answer that is read as long as it goes on, also one that is long only when it is decompressed,
+// and against the begin of a copy that counts as all of it.
+func TestEndlessCopy(t *testing.T) {
+	const limit = 256 << 20
+	// Any number of messages may follow each other. One of 1 KiB ends just where the limit of a copy is reached.
+	var record []byte
+	for size := 900; len(record) < 1<<10; size++ {
+		var err error
+		record, err = proto.Marshal(&wire.Copy{Version: 4, Whole: true, Records: []*wire.CopiedRecord{{Key: "k", Value: make([]byte, size), Version: 4}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var packed bytes.Buffer
+	zip := gzip.NewWriter(&packed)
+	for range 64 << 10 {
+		if _, err := zip.Write(record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := zip.Close(); err != nil {
+		t.Fatal(err)
+	}
+	const okHead = "HTTP/1.1 200 OK\r\n"
+	cases := map[string]fakes.Repetition{
+		"records":            {Start: okHead + "\r\n", Text: strings.Repeat(string(record), 16)},
+		"compressed records": {Start: okHead + "Content-Encoding: gzip\r\n\r\n" + packed.String(), Text: "x"},
+		"fields":             {Start: okHead, Text: "Odd: a\r\n"},
+	}
+	for name, rep := range cases {
+		t.Run(name, func(t *testing.T) {
+			rep.Limit = limit
+			srv := fakes.NewEndlessServer(t, rep)
+			merged := 0
+			fol := follow.New(follow.Options{
+				Source: fakes.NewRecordStore(), Kind: router.Instances, Log: slog.New(slog.DiscardHandler),
+				Apply:    func(upd follow.Update) { merged += len(upd.Changed) },
+				UsePeers: func() bool { return true },
+			})
+			cop := &copier{kind: router.Instances, follower: fol, transport: peerTransport}
+			if _, err := cop.fetch(t.Context(), srv.Address); err == nil || merged > 0 {
+				t.Errorf("%d records were merged, error %v", merged, err)
+			}
+			if got := srv.Sent.Load(); got >= limit {
+				t.Errorf("%d bytes were read", got)
+			}
+		})
+	}
+}
--- a/internal/router/peer/peer.go
+++ b/internal/router/peer/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"sync"
@@ -14,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/strict"
 	"github.com/hornbeamdyke/hornbeamdyke/pkg/wire"
 )
 
@@ -243,7 +243,7 @@
 
 // readMessage reads a message up to the end of the stream.
 func readMessage(stm *quic.Stream, msg proto.Message) error {
-	raw, err := io.ReadAll(io.LimitReader(stm, maxMessageBytes))
+	raw, err := strict.ReadAll(stm, maxMessageBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/router/peer/peer_test.go
+++ b/internal/router/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"path/filepath"
@@ -113,3 +114,44 @@
 		t.Fatalf("call on a new connection: %v", err)
 	}
 }
+
+// TestLargeReply guards against the begin of a reply that counts as all of it: it ends after a field, where the limit of a message is
+// reached.
+func TestLargeReply(t *testing.T) {
+	ath := authority(t)
+	one, crd := listen(t, issue(t, ath, t.TempDir()))
+	for name, cas := range map[string]struct {
+		size  int
+		sound bool
+	}{
+		"at the limit":     {maxMessageBytes, true},
+		"beyond the limit": {2 * maxMessageBytes, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			two, err := Listen(Options{
+				Listen: "127.0.0.1:0", Credentials: crd, Log: slog.New(slog.DiscardHandler),
+				Handler: func(context.Context, *wire.Request) *wire.Reply { return largeReply(cas.size) },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			defer func() { _ = two.Close() }()
+			go func() { _ = two.Serve(ctx) }()
+			_, err = one.Call(ctx, two.socket.LocalAddr().String(), &wire.Request{})
+			if (err == nil) != cas.sound || ctx.Err() != nil {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// largeReply returns a reply of a size in bytes, in fields of 16 bytes.
+func largeReply(size int) *wire.Reply {
+	// Field 100 of 13 bytes: its number and type in two bytes and its length in one.
+	one := append([]byte{0xa2, 0x06, 13}, make([]byte, 13)...)
+	rep := &wire.Reply{}
+	rep.ProtoReflect().SetUnknown(bytes.Repeat(one, size/len(one)))
+	return rep
+}
--- a/internal/router/runner/attempt.go
+++ b/internal/router/runner/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/relay"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/strict"
 )
 
 // Causes with which an attempt's context is cancelled. The texts of some become part of a refusal's message.
@@ -254,7 +255,7 @@
 
 // handleErrorStatus returns a client error for the caller; status 429 and server errors are failures.
 func (att *attempt) handleErrorStatus(rsp *relay.Response) result {
-	bdy, err := readAnswer(rsp.Body, att.runner.options.Live.Get().Limits.AnswerBytes)
+	bdy, err := strict.ReadAll(rsp.Body, att.runner.options.Live.Get().Limits.AnswerBytes)
 	if err != nil {
 		return att.classify(err, true)
 	}
--- a/internal/router/runner/collect.go
+++ b/internal/router/runner/collect.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 
@@ -135,15 +134,3 @@
 	hdr := http.Header{"Content-Type": {"application/json"}}
 	return &router.Answer{Status: http.StatusOK, Header: hdr, Body: bdy, Upstream: col.upstream}, nil
 }
-
-// readAnswer reads a body to its end; it fails if the body is truncated or larger than limit bytes.
-func readAnswer(bdy io.Reader, limit int) (raw []byte, err error) {
-	raw, err = io.ReadAll(io.LimitReader(bdy, int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(raw) > limit {
-		return nil, errors.Errorf("answer is larger than %d bytes", limit)
-	}
-	return raw, nil
-}
--- a/internal/router/runner/service.go
+++ b/internal/router/runner/service.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/order"
 	"github.com/hornbeamdyke/hornbeamdyke/internal/router/relay"
+	"github.com/hornbeamdyke/hornbeamdyke/internal/router/strict"
 )
 
 // ServiceCall is an admitted call of a plain HTTP service.
@@ -103,7 +104,7 @@
 		return order.SendResult{Unsent: !sent, Err: err}
 	}
 	defer rsp.Body.Close()
-	bdy, err := readAnswer(rsp.Body, run.options.Live.Get().Limits.AnswerBytes)
+	bdy, err := strict.ReadAll(rsp.Body, run.options.Live.Get().Limits.AnswerBytes)
 	if err != nil {
 		return order.SendResult{Err: err}
 	}
--- a/internal/router/vmlist/vmlist.go
+++ b/internal/router/vmlist/vmlist.go
@@ -26,6 +26,8 @@
 const (
 	fetchTimeout = 2 * time.Second
 	idleTimeout  = 90 * time.Second
+	// maxListBytes bounds a list, of some thousand VMs.
+	maxListBytes = 4 << 20
 )
 
 // Group is a target group of the list: addresses that share their labels.
@@ -62,8 +64,12 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(router.ErrUnavailable, "VM list answered %d", res.StatusCode)
 	}
+	txt, err := strict.ReadAll(res.Body, maxListBytes)
+	if err != nil {
+		return nil, errors.Join(router.ErrUnavailable, err)
+	}
 	var gps []Group
-	if err := json.NewDecoder(res.Body).Decode(&gps); err != nil {
+	if err := json.Unmarshal(txt, &gps); err != nil {
 		return nil, errors.Join(router.ErrUnavailable, err)
 	}
 	return convert(gps), nil
--- a/internal/router/vmlist/vmlist_test.go
+++ b/internal/router/vmlist/vmlist_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/fakes"
@@ -47,3 +48,27 @@
 		t.Run(name, func(t *testing.T) { checkNoList(t, "HTTP/1.1 200 OK", line) })
 	}
 }
+
+// TestEndlessList guards against a list that is read as long as it goes on.
+func TestEndlessList(t *testing.T) {
+	const limit = 64 << 20
+	const okHead = "HTTP/1.1 200 OK\r\n"
+	cases := map[string]fakes.Repetition{
+		"blanks":  {Start: okHead + "\r\n[", Text: strings.Repeat(" ", 16<<10)},
+		"entries": {Start: okHead + "\r\n[{}", Text: strings.Repeat(`,{"targets":[]}`, 1000)},
+		"text":    {Start: okHead + "\r\n[{\"targets\":[\"", Text: strings.Repeat("x", 16<<10)},
+		"fields":  {Start: okHead, Text: "Odd: a\r\n"},
+	}
+	for name, rep := range cases {
+		t.Run(name, func(t *testing.T) {
+			rep.Limit = limit
+			srv := fakes.NewEndlessServer(t, rep)
+			if vms, err := vmlist.New("http://" + srv.Address + "/vms").List(t.Context()); !errors.Is(err, router.ErrUnavailable) {
+				t.Errorf("list %v, error %v", vms, err)
+			}
+			if got := srv.Sent.Load(); got >= limit {
+				t.Errorf("%d bytes were read", got)
+			}
+		})
+	}
+}
