A peer's copy is bounded to 8 MiB; processes against endless platforms

What callers saw: nothing. An idle node of 64 MiB took 58 MiB when a peer sent copies without end of both kinds at once, which leaves too little for callers.

Cause: a copy could have 16 MiB, and reading one takes more than twice its size.

Fix: copies are bounded to 8 MiB, some ten thousand records. A node that cannot fetch a copy from peers reads the store, as with any other failed fetch.

--- a/internal/flood/node.go
+++ b/internal/flood/node.go
@@ -32,12 +32,16 @@
 	// Upstream answers the requests of callers, and UpstreamID is its ID.
 	Upstream   http.Handler
 	UpstreamID string
+	// WrapStore, if not nil, wraps the store.
+	WrapStore func(store http.Handler) http.Handler
 }
 
 // Node is a router process with a store and an upstream.
 type Node struct {
 	// Address is where callers connect.
 	Address string
+	// Store is the address of the platform's store; empty for a node that serves the product's own interface.
+	Store string
 
 	log   string
 	cmd   *exec.Cmd
@@ -62,7 +66,11 @@
 	defer errs.Annotate(&err, "start node")
 	nod = &Node{log: filepath.Join(opt.Dir, "node.log"), done: make(chan struct{}), sampled: make(chan struct{})}
 	str := mock.NewStore(fakes.NewInjector(1))
-	store, err := nod.serve(str.Handler())
+	han := str.Handler()
+	if opt.WrapStore != nil {
+		han = opt.WrapStore(han)
+	}
+	store, err := nod.serve(han)
 	if err != nil {
 		return nod, err
 	}
@@ -82,7 +90,7 @@
 		defer func() { _ = lis.Close() }()
 		held[idx], adrs[idx] = lis, lis.Addr().String()
 	}
-	nod.Address = adrs[0]
+	nod.Address, nod.Store = adrs[0], store
 	txt := fmt.Sprintf(`Name: n-0
 FailureDomain: here
 Region: home
--- a/internal/flood/product.go
+++ b/internal/flood/product.go
@@ -23,7 +23,9 @@
 	Binary, Dir string
 	// Engine and Service answer the requests of callers, Slots at a time each.
 	Engine, Service http.Handler
-	Slots           int
+	// List serves the list of VMs; nil means that there is none.
+	List  http.Handler
+	Slots int
 	// AnswerBytes is the limit of answers of the service.
 	AnswerBytes int
 }
@@ -51,8 +53,16 @@
 		held[idx], adrs[idx] = lis, lis.Addr().String()
 	}
 	nod.Address = adrs[0]
+	list := ""
+	if opt.List != nil {
+		adr, err := nod.serve(opt.List)
+		if err != nil {
+			return nod, err
+		}
+		list = "VMList: {URL: \"http://" + adr + "/vms\", Interval: 100ms}\n"
+	}
 	files := map[string]string{
-		"node.yaml": fmt.Sprintf("Name: n-0\nFailureDomain: here\nListen: %s\nAdmin: %s\n", adrs[0], adrs[1]),
+		"node.yaml": fmt.Sprintf("Name: n-0\nFailureDomain: here\nListen: %s\nAdmin: %s\n%s", adrs[0], adrs[1], list),
 		"base.yaml": fmt.Sprintf(`Deployment: flood
 FailureDomains: [{Name: here, Region: home}]
 Classes:
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -35,8 +35,9 @@
 	// go over a slow link.
 	dialTimeout  = time.Second
 	fetchTimeout = 4 * time.Second
-	// maxCopyBytes bounds a peer's response.
-	maxCopyBytes = 16 << 20
+	// maxCopyBytes bounds a peer's response, decompressed. It has room for some ten thousand records, and while it is read the
+	// smallest nodes have memory left for callers.
+	maxCopyBytes = 8 << 20
 	// minFetchInterval is the shortest time between two fetches of one kind.
 	minFetchInterval = 300 * time.Millisecond
 	// maxLag is how long a peer's copy may be newer before this node fetches it although its own
