--- a/internal/fakes/malformed.go
+++ b/internal/fakes/malformed.go
@@ -78,3 +78,9 @@
 		"carriage return in the name": nam + "\r: " + val + "\r\n",
 	}
 }
+
+// UploadEndings returns endings of a response without a length that comes while an upload is being written, and whether the response is
+// complete with them. What follows the first byte of an ending names it.
+func UploadEndings() map[string]bool {
+	return map[string]bool{ThenReset: false, ThenResetLater: false, ThenHalfClose: true, ThenHalfCloseReset: true}
+}
--- a/internal/flood/node.go
+++ b/internal/flood/node.go
@@ -80,16 +80,11 @@
 	}
 	str.Set("op", "config", mock.ConfigWithBodies(1, maxBodyBytes))
 	str.Set("servers", opt.UpstreamID, mock.ServerRecord(ups, "here", false, 1, 1))
-	var adrs [3]string
-	var held [3]net.Listener
-	for idx := range adrs {
-		lis, err := net.Listen("tcp", "127.77.0.1:0")
-		if err != nil {
-			return nod, err
-		}
-		defer func() { _ = lis.Close() }()
-		held[idx], adrs[idx] = lis, lis.Addr().String()
+	adrs, release, err := reserve(3)
+	if err != nil {
+		return nod, err
 	}
+	defer release()
 	nod.Address, nod.Store = adrs[0], store
 	txt := fmt.Sprintf(`Name: n-0
 FailureDomain: here
@@ -112,19 +107,36 @@
 	if err := os.WriteFile(settings, []byte(txt), 0o600); err != nil {
 		return nod, err
 	}
-	out, err := os.Create(nod.log)
-	if err != nil {
-		return nod, err
+	release()
+	return nod, nod.launch(opt.Binary, "serve", "--node", settings)
+}
+
+// reserve returns free addresses, which are reserved until release is called.
+func reserve(num int) (adrs []string, release func(), err error) {
+	var held []net.Listener
+	release = func() {
+		for _, lis := range held {
+			_ = lis.Close()
+		}
 	}
-	defer func() { _ = out.Close() }()
-	for _, lis := range held {
-		_ = lis.Close()
+	for range num {
+		lis, err := net.Listen("tcp", "127.77.0.1:0")
+		if err != nil {
+			release()
+			return nil, nil, err
+		}
+		held, adrs = append(held, lis), append(adrs, lis.Addr().String())
 	}
-	return nod, nod.launch(out, opt.Binary, "serve", "--node", settings)
+	return adrs, release, nil
 }
 
 // launch starts a command as the process, and the sampling of what it uses.
-func (nod *Node) launch(out *os.File, name string, args ...string) (err error) {
+func (nod *Node) launch(name string, args ...string) (err error) {
+	out, err := os.Create(nod.log)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
 	nod.cmd = exec.Command(name, args...)
 	nod.cmd.Stdout, nod.cmd.Stderr = out, out
 	if err := nod.cmd.Start(); err != nil {
--- a/internal/flood/product.go
+++ b/internal/flood/product.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -42,16 +41,11 @@
 	if err != nil {
 		return nod, err
 	}
-	var adrs [2]string
-	var held [2]net.Listener
-	for idx := range adrs {
-		lis, err := net.Listen("tcp", "127.77.0.1:0")
-		if err != nil {
-			return nod, err
-		}
-		defer func() { _ = lis.Close() }()
-		held[idx], adrs[idx] = lis, lis.Addr().String()
+	adrs, release, err := reserve(2)
+	if err != nil {
+		return nod, err
 	}
+	defer release()
 	nod.Address = adrs[0]
 	list := ""
 	if opt.List != nil {
@@ -90,13 +84,6 @@
 			return nod, err
 		}
 	}
-	out, err := os.Create(nod.log)
-	if err != nil {
-		return nod, err
-	}
-	defer func() { _ = out.Close() }()
-	for _, lis := range held {
-		_ = lis.Close()
-	}
-	return nod, nod.launch(out, opt.Binary, "serve", "--node", filepath.Join(opt.Dir, "node.yaml"), "--base", filepath.Join(opt.Dir, "base.yaml"))
+	release()
+	return nod, nod.launch(opt.Binary, "serve", "--node", filepath.Join(opt.Dir, "node.yaml"), "--base", filepath.Join(opt.Dir, "base.yaml"))
 }
--- a/internal/router/conns/conns_test.go
+++ b/internal/router/conns/conns_test.go
@@ -233,29 +233,20 @@
 // resets the connection while the request is still being written. The system reports the reset once, to the write or to the read; after
 // the write got it, the read gets the end of the stream. A response that ends in order stays complete.
 func TestResetDuringUpload(t *testing.T) {
-	cases := map[string]struct {
-		ending   string
-		complete bool
-	}{
-		"reset":                {fakes.ThenReset, false},
-		"reset later":          {fakes.ThenResetLater, false},
-		"half-close":           {fakes.ThenHalfClose, true},
-		"half-close and reset": {fakes.ThenHalfCloseReset, true},
-	}
 	sizes := map[string]int{"no body": 0, "short body": 4 << 10, "long body": 256 << 10, "very long body": 8 << 20}
-	for name, cas := range cases {
+	for ending, complete := range fakes.UploadEndings() {
 		for nameSize, size := range sizes {
-			t.Run(name+" "+nameSize, func(t *testing.T) {
+			t.Run(ending[1:]+" "+nameSize, func(t *testing.T) {
 				t.Parallel()
-				scr := fakes.NewScriptedServerFrom(t, fakes.NewAnswerQueue(slices.Repeat([]string{"HTTP/1.1 200 OK\r\n\r\nok" + cas.ending}, uploads)...))
+				scr := fakes.NewScriptedServerFrom(t, fakes.NewAnswerQueue(slices.Repeat([]string{"HTTP/1.1 200 OK\r\n\r\nok" + ending}, uploads)...))
 				pol := conns.NewPools().Pool("key", scr.Address)
 				body := strings.Repeat("x", size)
 				for num := range uploads {
 					txt, err := exchange(t, pol, body)
-					if !cas.complete && err == nil {
+					if !complete && err == nil {
 						t.Fatalf("upload %d: response %q counts as complete", num, txt)
 					}
-					if cas.complete && (err != nil || txt != "ok") {
+					if complete && (err != nil || txt != "ok") {
 						t.Fatalf("upload %d: response %q, error %v", num, txt, err)
 					}
 				}
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -100,27 +100,18 @@
 // resets the connection while the request is still being written. A response that ends in order stays as it is.
 func TestResetDuringUpload(t *testing.T) {
 	const uploads = 40
-	cases := map[string]struct {
-		ending   string
-		complete bool
-	}{
-		"reset":                {fakes.ThenReset, false},
-		"reset later":          {fakes.ThenResetLater, false},
-		"half-close":           {fakes.ThenHalfClose, true},
-		"half-close and reset": {fakes.ThenHalfCloseReset, true},
-	}
 	body := bytes.Repeat([]byte("x"), 4<<20)
-	for name, cas := range cases {
+	for ending, complete := range fakes.UploadEndings() {
 		for _, atMostOnce := range []bool{false, true} {
-			t.Run(name+" "+strconv.FormatBool(atMostOnce), func(t *testing.T) {
+			t.Run(ending[1:]+" "+strconv.FormatBool(atMostOnce), func(t *testing.T) {
 				t.Parallel()
-				scr := fakes.NewScriptedServerFrom(t, fakes.NewAnswerQueue(slices.Repeat([]string{"HTTP/1.1 200 OK\r\n\r\nok" + cas.ending}, uploads)...))
+				scr := fakes.NewScriptedServerFrom(t, fakes.NewAnswerQueue(slices.Repeat([]string{"HTTP/1.1 200 OK\r\n\r\nok" + ending}, uploads)...))
 				rel := relay.New(time.Second)
 				defer rel.Close()
 				for num := range uploads {
 					txt, sent, err := sendCall(t.Context(), rel, router.Upstream{Name: "u", Address: "http://" + scr.Address},
 						relay.Call{Method: http.MethodPost, Path: "/p", Body: body, AtMostOnce: atMostOnce})
-					if !sent || (err == nil) != cas.complete || cas.complete && txt != "ok" {
+					if !sent || (err == nil) != complete || complete && txt != "ok" {
 						t.Fatalf("upload %d: response %q, sent %t, error %v", num, txt, sent, err)
 					}
 				}
--- a/internal/router/send/malformed_test.go
+++ b/internal/router/send/malformed_test.go
@@ -207,28 +207,19 @@
 		uploads = 10
 		part    = head + "\r\nid: 1\na\n\n"
 	)
-	cases := map[string]struct {
-		ending   string
-		complete bool
-	}{
-		"reset":                {fakes.ThenReset, false},
-		"reset later":          {fakes.ThenResetLater, false},
-		"half-close":           {fakes.ThenHalfClose, true},
-		"half-close and reset": {fakes.ThenHalfCloseReset, true},
-	}
 	upload := strings.Repeat("x", 4<<20)
-	for name, cas := range cases {
+	for ending, sound := range fakes.UploadEndings() {
 		for nameRoute, rou := range malformedRoutes {
-			t.Run(name+" "+nameRoute, func(t *testing.T) {
+			t.Run(ending[1:]+" "+nameRoute, func(t *testing.T) {
 				t.Parallel()
 				for range uploads {
-					que := &responseQueue{responses: []string{strings.ReplaceAll(part, "{ID}", "call") + cas.ending, fakes.ThenReset}}
+					que := &responseQueue{responses: []string{strings.ReplaceAll(part, "{ID}", "call") + ending, fakes.ThenReset}}
 					scrs := que.upstreams(t, 2)
 					grd, stop := guard.New(timer.Real{}, send.MaxCrashes)
 					status, body, complete := callFront(t, startFrontWith(t, newSender(grd, scrs...), rou, upload))
 					stop()
 					whole := status == http.StatusOK && complete
-					if whole != cas.complete || whole && body != "id: 1\na\n\n" {
+					if whole != sound || whole && body != "id: 1\na\n\n" {
 						t.Fatalf("status %d, body %q, complete %t", status, body, complete)
 					}
 					if !whole && !rou.Stream && status != http.StatusBadGateway {
