--- a/internal/router/strict/doc.go
+++ b/internal/router/strict/doc.go
@@ -8,7 +8,9 @@
 // A body without a length or chunks ends with its connection. A Conn tells an end in order from a reset that the system reported to a
 // write of the request.
 //
-// Body checks what comes after the last chunk of a body in chunks.
+// Heads are bounded in bytes and in fields, and the memory of a long one can be reserved before it is parsed. Body checks what comes
+// after the last chunk of a body in chunks. ReadAll reads a body up to a limit, beyond which it fails.
 //
-// Transport makes an http.Transport use such connections.
+// Transport makes an http.Transport use such connections. Since http.Transport closes a connection when a write fails, there the
+// end of the connection is left to the read, which gets a response that has arrived before.
 package strict
