The number of records in an answer is bounded before they are decoded

What callers saw: nothing directly. A store, a VM list or a peer in trouble sends many records of a few bytes each, complete and within the limit of its answer. Decoding them takes the node past its memory.

Cause: limits bound bytes. A row, list entry or record takes many times its bytes when it is decoded.

--- a/internal/flood/platform_test.go
+++ b/internal/flood/platform_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,35 +37,39 @@
 // TestEndlessStore guards against a store in trouble whose answers do not end.
 func TestEndlessStore(t *testing.T) {
 	for name, ans := range endlessReads {
-		t.Run(name, func(t *testing.T) {
-			var broken atomic.Bool
-			nod, err := Start(Options{
-				Binary: binary, Dir: t.TempDir(), MemoryMebibytes: memoryMebibytes, FileDescriptors: fileDescriptors,
-				Upstream: mock.NewUpstream(upstreamID), UpstreamID: upstreamID,
-				WrapStore: func(store http.Handler) http.Handler {
-					return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-						if broken.Load() {
-							ans.ServeHTTP(wri, req)
-							return
-						}
-						store.ServeHTTP(wri, req)
-					})
-				},
+		t.Run(name, func(t *testing.T) { playStore(t, ans) })
+	}
+}
+
+// playStore plays a store that answers in this way for some time.
+func playStore(t *testing.T, ans *fakes.EndlessAnswer) {
+	t.Helper()
+	var broken atomic.Bool
+	nod, err := Start(Options{
+		Binary: binary, Dir: t.TempDir(), MemoryMebibytes: memoryMebibytes, FileDescriptors: fileDescriptors,
+		Upstream: mock.NewUpstream(upstreamID), UpstreamID: upstreamID,
+		WrapStore: func(store http.Handler) http.Handler {
+			return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+				if broken.Load() {
+					ans.ServeHTTP(wri, req)
+					return
+				}
+				store.ServeHTTP(wri, req)
 			})
-			t.Cleanup(nod.Stop)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if !answers(t, nod, "before") {
-				t.Fatalf("the node does not start: %s", nod.LogEnd())
-			}
-			broken.Store(true)
-			timer.Sleep(t.Context(), endlessTime)
-			broken.Store(false)
-			checkLives(t, nod, answers(t, nod, "after"))
-			t.Logf("%d KiB were sent", ans.Sent.Load()>>10)
-		})
+		},
+	})
+	t.Cleanup(nod.Stop)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !answers(t, nod, "before") {
+		t.Fatalf("the node does not start: %s", nod.LogEnd())
 	}
+	broken.Store(true)
+	timer.Sleep(t.Context(), endlessTime)
+	broken.Store(false)
+	checkLives(t, nod, answers(t, nod, "after"))
+	t.Logf("%d KiB were sent", ans.Sent.Load()>>10)
 }
 
 // checkLives checks that the process lives and that its memory is within the bound.
@@ -86,21 +91,25 @@
 // TestEndlessList guards against a list of VMs that does not end.
 func TestEndlessList(t *testing.T) {
 	for name, ans := range endlessReads {
-		t.Run(name, func(t *testing.T) {
-			han := http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) { fmt.Fprint(wri, "stock") })
-			nod, err := StartProduct(ProductOptions{
-				Binary: binary, Dir: t.TempDir(), Engine: han, Service: han, List: ans, Slots: productSlots, AnswerBytes: productAnswerBytes,
-			})
-			t.Cleanup(nod.Stop)
-			if err != nil {
-				t.Fatal(err)
-			}
-			timer.Sleep(t.Context(), endlessTime)
-			checkLives(t, nod, answersLookup(t.Context(), nod))
-			if ans.Sent.Load() == 0 && ans.Fast > 0 {
-				t.Error("the list was not read")
-			}
-		})
+		t.Run(name, func(t *testing.T) { playList(t, ans) })
+	}
+}
+
+// playList plays a list of VMs that is answered in this way.
+func playList(t *testing.T, ans *fakes.EndlessAnswer) {
+	t.Helper()
+	han := http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) { fmt.Fprint(wri, "stock") })
+	nod, err := StartProduct(ProductOptions{
+		Binary: binary, Dir: t.TempDir(), Engine: han, Service: han, List: ans, Slots: productSlots, AnswerBytes: productAnswerBytes,
+	})
+	t.Cleanup(nod.Stop)
+	if err != nil {
+		t.Fatal(err)
+	}
+	timer.Sleep(t.Context(), endlessTime)
+	checkLives(t, nod, answersLookup(t.Context(), nod))
+	if ans.Sent.Load() == 0 && ans.Fast > 0 {
+		t.Error("the list was not read")
 	}
 }
 
@@ -156,15 +165,43 @@
 		"blanks":  endlessReads["blanks"],
 	}
 	for name, ans := range cases {
-		t.Run(name, func(t *testing.T) {
-			nod := startNode(t)
-			startPeer(t, nod, ans)
-			before := ans.Sent.Load()
-			timer.Sleep(t.Context(), endlessTime+2*time.Second)
-			checkLives(t, nod, answers(t, nod, "after"))
-			if ans.Sent.Load() == before && ans.Fast > 0 {
-				t.Errorf("no copy was fetched: %s", nod.LogEnd())
-			}
-		})
+		t.Run(name, func(t *testing.T) { playPeer(t, ans) })
+	}
+}
+
+// playPeer plays a peer whose copies are answered in this way.
+func playPeer(t *testing.T, ans *fakes.EndlessAnswer) {
+	t.Helper()
+	nod := startNode(t)
+	startPeer(t, nod, ans)
+	before := ans.Sent.Load()
+	timer.Sleep(t.Context(), endlessTime+2*time.Second)
+	checkLives(t, nod, answers(t, nod, "after"))
+	if ans.Sent.Load() == before && ans.Fast > 0 {
+		t.Errorf("no copy was fetched: %s", nod.LogEnd())
+	}
+}
+
+// complete returns an answer of a size that has its length and ends: begin, then text again and again, then end.
+func complete(size int, begin, text, end string) *fakes.EndlessAnswer {
+	num := (size - len(begin) - len(end)) / len(text)
+	length := len(begin) + num*len(text) + len(end)
+	return &fakes.EndlessAnswer{
+		Start: okLine + "Content-Length: " + strconv.Itoa(length) + "\r\n\r\n" + begin + strings.Repeat(text, num) + end,
+		Text:  "\n",
 	}
 }
+
+// TestManyRecords guards against answers that are within their limit, but take many times their size when they are decoded.
+func TestManyRecords(t *testing.T) {
+	const mebibyte = 1 << 20
+	t.Run("store", func(t *testing.T) {
+		playStore(t, complete(4*mebibyte-1, `{"rowVersion":"9","rows":[{}`, `,{}`, `]}`))
+	})
+	t.Run("list", func(t *testing.T) {
+		playList(t, complete(4*mebibyte-1, `[{}`, `,{}`, `]`))
+	})
+	t.Run("peer", func(t *testing.T) {
+		playPeer(t, complete(8*mebibyte-1, "", "\x12\x00", ""))
+	})
+}
--- a/internal/router/mesh/copy.go
+++ b/internal/router/mesh/copy.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeamdyke/hornbeamdyke/internal/errs"
@@ -38,6 +39,8 @@
 	// maxCopyBytes bounds a peer's response, decompressed. It has room for some ten thousand records, and while it is read the
 	// smallest nodes have memory left for callers.
 	maxCopyBytes = 8 << 20
+	// maxCopyRecords bounds the records in it: one without content takes over a hundred times its bytes when it is decoded.
+	maxCopyRecords = 20_000
 	// minFetchInterval is the shortest time between two fetches of one kind.
 	minFetchInterval = 300 * time.Millisecond
 	// maxLag is how long a peer's copy may be newer before this node fetches it although its own
@@ -172,6 +175,9 @@
 	if rsp.StatusCode != http.StatusOK {
 		return 0, errors.Errorf("unexpected status %d", rsp.StatusCode)
 	}
+	if err := checkRecords(txt); err != nil {
+		return 0, err
+	}
 	var msg wire.Copy
 	if err := proto.Unmarshal(txt, &msg); err != nil {
 		return 0, err
@@ -184,6 +190,21 @@
 	return len(chs.Records), nil
 }
 
+// checkRecords checks that an encoded copy has no more than maxCopyRecords fields, before they are decoded.
+func checkRecords(txt []byte) error {
+	for num := 0; len(txt) > 0; num++ {
+		_, _, size := protowire.ConsumeField(txt)
+		if size < 0 {
+			return protowire.ParseError(size)
+		}
+		if num >= maxCopyRecords {
+			return errors.Errorf("copy has more than %d records", maxCopyRecords)
+		}
+		txt = txt[size:]
+	}
+	return nil
+}
+
 // Handler serves this node's copies to peers.
 func (msh *Mesh) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/router/vmlist/vmlist.go
+++ b/internal/router/vmlist/vmlist.go
@@ -1,6 +1,7 @@
 package vmlist
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -28,6 +29,8 @@
 	idleTimeout  = 90 * time.Second
 	// maxListBytes bounds a list, of some thousand VMs.
 	maxListBytes = 4 << 20
+	// maxListValues bounds the values in it, which take many times their bytes when they are decoded.
+	maxListValues = 100_000
 )
 
 // Group is a target group of the list: addresses that share their labels.
@@ -68,6 +71,9 @@
 	if err != nil {
 		return nil, errors.Join(router.ErrUnavailable, err)
 	}
+	if num := bytes.Count(txt, []byte{','}); num > maxListValues {
+		return nil, errors.Wrapf(router.ErrUnavailable, "VM list with %d values", num)
+	}
 	var gps []Group
 	if err := json.Unmarshal(txt, &gps); err != nil {
 		return nil, errors.Join(router.ErrUnavailable, err)
