--- /dev/null
+++ b/review/standin-3/case_part.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { cases["part"] = casePart }
+
+const (
+	// deadlyPart is the part of a prompt that crashes each server which begins to answer on it.
+	deadlyPart = "5c1e07a2"
+	// downTime is how long a crashed server is away.
+	downTime = 2 * time.Second
+	// stableWindow is the bound stableWindowMs of the small deployments.
+	stableWindow = 4 * time.Second
+)
+
+// casePart sends requests with a part that crashes servers beside sound ones of the same route and key, and compares how often
+// the sound ones begin.
+func casePart(rig *rig) (bool, error) {
+	const key = "n2ctnfzs989anu6wsjnb"
+	tenants := []map[string]any{{"name": "hule930", "apiKeys": []string{key}}}
+	pool := service("huvo11a")
+	pool["maxConnections"] = 360
+	pool["engine"] = map[string]any{"slots": 64, "kvCapacityTokens": 417546, "kvTokenBytes": 327680, "linkMbps": 1100000.0,
+		"models": []map[string]any{{"name": "m"}}}
+	rou := route("r-1", "/lohu930/", "streaming", "huvo11a", 10000, 400, 1, false)
+	rou["sessionAffinity"], rou["targetGapMs"] = true, 250
+	rig.store.set("op", "config", manifest(3, []map[string]any{rou}, []map[string]any{pool}, tenants))
+
+	var mut sync.Mutex
+	begun := map[string]bool{}
+	var crashes []time.Time
+	rig.onLine = func(_, line string) {
+		mut.Lock()
+		defer mut.Unlock()
+		switch wrd := strings.Fields(line); wrd[0] {
+		case "run":
+			begun[wrd[1]] = true
+		case "crash":
+			crashes = append(crashes, time.Now())
+		}
+	}
+	over := make(chan struct{})
+	var keepers sync.WaitGroup
+	for num := range 3 {
+		id, adr := fmt.Sprintf("i-%d", num), freeAddress("127.0.0.1")
+		start := func() *proc {
+			return rig.startServer(id, "huvo11a", "east-a", adr, 64, "--deadly", deadlyPart, "--events", "34", "--work", "30ms")
+		}
+		srv := start()
+		keepers.Add(1)
+		go func() {
+			defer keepers.Done()
+			for {
+				select {
+				case <-srv.done:
+					time.Sleep(downTime)
+					srv = start()
+				case <-over:
+					return
+				}
+			}
+		}()
+	}
+	nods := []*node{rig.startNode(1), rig.startNode(2)}
+	for _, nod := range nods {
+		if !rig.awaitReady(nod) {
+			return false, fmt.Errorf("a node is not ready")
+		}
+	}
+	time.Sleep(3 * time.Second)
+
+	var wg sync.WaitGroup
+	type sound struct {
+		id   string
+		sent time.Time
+	}
+	var sounds []sound
+	num := 0
+	call := func(prefix, body string, ok bool) {
+		num++
+		id, front := fmt.Sprintf("%016x", num), nods[num%len(nods)].front
+		if ok {
+			sounds = append(sounds, sound{id, time.Now()})
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rig.send(front, "POST", "/lohu930/2f", id, key, 10*time.Second,
+				map[string]string{"Model": "m", "Token-Usage": "1460,170", "Prompt-Prefix": prefix}, body)
+		}()
+	}
+	// Callers ask one of four questions again and again, and every fourth request is about something else.
+	began := time.Now()
+	for step := 0; time.Since(began) < 45*time.Second; step++ {
+		if question := step % 5; question < 4 {
+			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,e4402b%02d:250", question), fmt.Sprintf("question %d", question), true)
+		} else {
+			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,f%07d:250", step), fmt.Sprintf("another question %d", step), true)
+		}
+		if rig.trouble && time.Since(began) > 10*time.Second && step%3 == 0 {
+			call(fmt.Sprintf("77aa0b1c:800,%s:410,a%07d:250", deadlyPart, step), fmt.Sprintf("broken question %d", step), false)
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	wg.Wait()
+	close(over)
+	keepers.Wait()
+
+	mut.Lock()
+	defer mut.Unlock()
+	from := began.Add(10 * time.Second)
+	if num := len(crashes); num > 0 {
+		from = crashes[min(num, 5)-1].Add(2 * stableWindow)
+	}
+	var before, beforeBegun, after, afterBegun int
+	for _, one := range sounds {
+		switch {
+		case one.sent.Before(began.Add(9 * time.Second)):
+			before++
+			if begun[one.id] {
+				beforeBegun++
+			}
+		case one.sent.After(from):
+			after++
+			if begun[one.id] {
+				afterBegun++
+			}
+		}
+	}
+	rig.note("%d crashes; sound requests before: %d of %d begun; from %.1f s on: %d of %d begun", len(crashes), beforeBegun, before,
+		from.Sub(rig.began).Seconds(), afterBegun, after)
+	fmt.Printf("%d crashes; sound before %d/%d, after %d/%d\n", len(crashes), beforeBegun, before, afterBegun, after)
+	if before < 20 || after < 20 {
+		return false, fmt.Errorf("too few requests")
+	}
+	return 2*afterBegun*before >= beforeBegun*after, nil
+}
--- /dev/null
+++ b/review/standin-3/server.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// serve runs a stand-in for a server of the platform. It prints a line when it begins to run a request and one when it has answered.
+//
+// It serves slots requests at once and queues as many; beyond that it rejects them. A request that is not addressed to its id gets 421.
+func serve(args []string) error {
+	set := flag.NewFlagSet("server", flag.ExitOnError)
+	listen := set.String("listen", "", "address")
+	id := set.String("id", "", "id of the server")
+	work := set.Duration("work", 20*time.Millisecond, "time that a request takes")
+	slots := set.Int("slots", 64, "requests at once")
+	deadly := set.String("deadly", "", "part of a prompt at whose answer the server crashes")
+	events := set.Int("events", 0, "events of a stream; zero for plain answers")
+	_ = set.Parse(args)
+	places := make(chan struct{}, *slots)
+	queue := make(chan struct{}, 2**slots)
+	var mut sync.Mutex
+	say := func(format string, args ...any) {
+		mut.Lock()
+		defer mut.Unlock()
+		fmt.Fprintf(os.Stdout, format+"\n", args...)
+	}
+	han := http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		hdr, attempt := wri.Header(), req.Header.Get("Attempt-Id")
+		if attempt != "" {
+			hdr.Set("Attempt-Id", attempt)
+		}
+		if req.URL.Path == "/healthz" {
+			hdr.Set("Instance-Id", *id)
+			return
+		}
+		if req.Header.Get("Expected-Instance") != *id && req.Header.Get("Expected-Instance") != "" {
+			hdr.Set("Instance-Id", *id)
+			wri.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		select {
+		case queue <- struct{}{}:
+		default:
+			hdr.Set("Not-Executed", "1")
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() { <-queue }()
+		select {
+		case places <- struct{}{}:
+		case <-req.Context().Done():
+			return
+		}
+		defer func() { <-places }()
+		say("run %s %s %s tenant=%s body=%d", attempt, req.Method, req.RequestURI, req.Header.Get("Tenant"), len(body))
+		left := time.Hour
+		if num, err := strconv.ParseFloat(req.Header.Get("Deadline-Ms"), 64); err == nil {
+			left = time.Duration(num * float64(time.Millisecond))
+		}
+		if *deadly != "" && strings.Contains(req.Header.Get("Prompt-Prefix"), *deadly+":") {
+			time.Sleep(*work)
+			say("crash %s", attempt)
+			os.Exit(3)
+		}
+		if *events > 0 {
+			hdr.Set("Server-Signature", "s."+*id)
+			stream(wri, req, attempt, *events, *work)
+			say("done %s", attempt)
+			return
+		}
+		select {
+		case <-time.After(min(*work, left)):
+		case <-req.Context().Done():
+			say("dropped %s", attempt)
+			return
+		}
+		if left < *work {
+			hdr.Set("Server-Signature", "s."+*id)
+			wri.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
+		hdr.Set("Server-Signature", "s."+*id)
+		hdr.Set("Content-Type", "text/plain")
+		var buf bytes.Buffer
+		fmt.Fprintf(&buf, "%s answered by %s %s", attempt, *id, strings.Repeat("x", 700))
+		hdr.Set("Content-Length", strconv.Itoa(buf.Len()))
+		_, _ = wri.Write(buf.Bytes())
+		say("done %s", attempt)
+	})
+	return (&http.Server{Addr: *listen, Handler: han}).ListenAndServe()
+}
+
+// stream sends the events after the Last-Event-Id of a request, with a gap before each.
+func stream(wri http.ResponseWriter, req *http.Request, attempt string, events int, gap time.Duration) {
+	wri.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	ctl := http.NewResponseController(wri)
+	for num := after + 1; num <= events; num++ {
+		select {
+		case <-time.After(gap):
+		case <-req.Context().Done():
+			return
+		}
+		fmt.Fprintf(wri, "id: %d\ndata: %s.%d of %d\n\n", num, attempt, num, events)
+		if ctl.Flush() != nil {
+			return
+		}
+	}
+}
