--- /dev/null
+++ b/review/standin-3/case_foreign.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { cases["foreign"] = caseForeign }
+
+const (
+	// drainTime is the bound drainMs of the small deployments.
+	drainTime = 3 * time.Second
+	// leavingTime is how long a server goes on after its entry was removed: drainMs and some seconds.
+	leavingTime = 8 * time.Second
+)
+
+// caseForeign removes the entry of a server that leaves, and lets another writer put an entry with fields missing in its place.
+func caseForeign(rig *rig) (bool, error) {
+	const key = "n2ctnfzs989anu6wsjnb"
+	tenants := []map[string]any{{"name": "hule930", "apiKeys": []string{key}}}
+	rous := []map[string]any{route("r-1", "/puxa403/", "non_idempotent", "orders", 1500, 200, 1, false)}
+	rig.store.set("op", "config", manifest(3, rous, []map[string]any{service("orders")}, tenants))
+	var mut sync.Mutex
+	arrived := map[string]time.Time{}
+	rig.onLine = func(server, line string) {
+		if wrd := strings.Fields(line); server == "i-0" && wrd[0] == "run" {
+			mut.Lock()
+			defer mut.Unlock()
+			arrived[wrd[1]] = time.Now()
+		}
+	}
+	var srvs []*proc
+	var adrs []string
+	for num := range 3 {
+		adrs = append(adrs, freeAddress("127.0.0.1"))
+		srvs = append(srvs, rig.startServer(fmt.Sprintf("i-%d", num), "orders", "east-a", adrs[num], 6, "--work", "60ms"))
+	}
+	nods := []*node{rig.startNode(1), rig.startNode(2)}
+	for _, nod := range nods {
+		if !rig.awaitReady(nod) {
+			return false, fmt.Errorf("a node is not ready")
+		}
+	}
+	time.Sleep(4 * time.Second)
+	var wg sync.WaitGroup
+	sent := map[string]time.Time{}
+	cut, num := 0, 0
+	run := func(dur time.Duration) {
+		for end := time.Now().Add(dur); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+			num++
+			id, front := fmt.Sprintf("%016x", num), nods[num%len(nods)].front
+			mut.Lock()
+			sent[id] = time.Now()
+			mut.Unlock()
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				rep := rig.send(front, "POST", "/puxa403/2f", id, key, 3*time.Second, nil, "order "+id)
+				mut.Lock()
+				defer mut.Unlock()
+				if rep.status == 502 || rep.status == 504 || rep.status == 0 {
+					cut++
+				}
+			}()
+		}
+	}
+	run(2 * time.Second)
+	gone := rig.store.set("servers", "i-0", nil)
+	rig.note("the entry of i-0 is removed; i-0 serves on for %v", leavingTime)
+	run(time.Second)
+	if rig.trouble {
+		rig.store.set("servers", "i-0", mustJSON(map[string]any{"service": "orders", "address": adrs[0], "zone": "east-a", "state": "ready"}))
+		rig.note("another writer puts an entry without version, slots, warmupLeftMs, born and sequence")
+	}
+	run(leavingTime - time.Since(gone))
+	rig.signal(srvs[0], syscall.SIGKILL)
+	run(2 * time.Second)
+	wg.Wait()
+	time.Sleep(200 * time.Millisecond)
+	mut.Lock()
+	defer mut.Unlock()
+	late := 0
+	for id, at := range arrived {
+		if sent[id].After(gone.Add(drainTime)) && at.After(gone.Add(drainTime)) {
+			late++
+		}
+	}
+	rig.note("%d requests reached i-0 later than drainMs; %d of %d ended without an answer of a server", late, cut, num)
+	fmt.Printf("late at the server that left: %d; without an answer of a server: %d of %d\n", late, cut, num)
+	return late == 0, nil
+}
--- a/review/standin-3/case_split.go
+++ b/review/standin-3/case_split.go
@@ -61,4 +61,3 @@
 	}
 	return held && len(ran) == 5, nil
 }
-
