--- a/review/standin-3/case_foreign.go
+++ b/review/standin-3/case_foreign.go
@@ -8,7 +8,10 @@
 	"time"
 )
 
-func init() { cases["foreign"] = caseForeign }
+func init() {
+	cases["foreign"] = func(rig *rig) (bool, error) { return caseForeign(rig, false) }
+	cases["copy"] = func(rig *rig) (bool, error) { return caseForeign(rig, true) }
+}
 
 const (
 	// drainTime is the bound drainMs of the small deployments.
@@ -17,8 +20,9 @@
 	leavingTime = 8 * time.Second
 )
 
-// caseForeign removes the entry of a server that leaves, and lets another writer put an entry with fields missing in its place.
-func caseForeign(rig *rig) (bool, error) {
+// caseForeign removes the entry of a server that leaves, and lets another writer put an entry with fields missing in its place, or a
+// whole one into another part of the table.
+func caseForeign(rig *rig, otherPart bool) (bool, error) {
 	const key = "n2ctnfzs989anu6wsjnb"
 	tenants := []map[string]any{{"name": "hule930", "apiKeys": []string{key}}}
 	rous := []map[string]any{route("r-1", "/puxa403/", "non_idempotent", "orders", 1500, 200, 1, false)}
@@ -68,10 +72,15 @@
 		}
 	}
 	run(2 * time.Second)
+	whole := rig.store.value("servers", "i-0")
 	gone := rig.store.set("servers", "i-0", nil)
 	rig.note("the entry of i-0 is removed; i-0 serves on for %v", leavingTime)
 	run(time.Second)
-	if rig.trouble {
+	switch {
+	case rig.trouble && otherPart:
+		rig.store.setIn("copies", "servers", "i-0", whole)
+		rig.note("another writer keeps a copy of the entry in the part copies")
+	case rig.trouble:
 		rig.store.set("servers", "i-0", mustJSON(map[string]any{"service": "orders", "address": adrs[0], "zone": "east-a", "state": "ready"}))
 		rig.note("another writer puts an entry without version, slots, warmupLeftMs, born and sequence")
 	}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -26,34 +25,47 @@
 	mut     sync.Mutex
 	began   time.Time
 	version int64
-	tables  map[string]map[string]row
+	// tables holds the rows by table, and by part and key.
+	tables  map[string]map[[2]string]row
 	history []row
 	changed chan struct{}
 }
 
 func newStore() *store {
-	return &store{began: time.Now(), tables: map[string]map[string]row{}, changed: make(chan struct{})}
+	return &store{began: time.Now(), tables: map[string]map[[2]string]row{}, changed: make(chan struct{})}
 }
 
-// set writes or, with a nil value, removes a row and returns the time of the acknowledgement.
+// set writes or, with a nil value, removes a row of the empty part and returns the time of the acknowledgement.
 func (str *store) set(table, key string, value []byte) time.Time {
+	return str.setIn("", table, key, value)
+}
+
+// setIn is set for a row of any part.
+func (str *store) setIn(part, table, key string, value []byte) time.Time {
 	str.mut.Lock()
 	defer str.mut.Unlock()
 	str.version++
-	str.put(row{Table: table, Key: key, Value: value, Deleted: value == nil})
+	str.put(row{Table: table, Part: part, Key: key, Value: value, Deleted: value == nil})
 	return time.Now()
 }
 
+// value returns the value of a row of the empty part.
+func (str *store) value(table, key string) []byte {
+	str.mut.Lock()
+	defer str.mut.Unlock()
+	return str.tables[table][[2]string{"", key}].Value
+}
+
 // put applies a change at the current version; the caller holds the lock.
 func (str *store) put(one row) {
 	one.RowVersion = str.version
 	if str.tables[one.Table] == nil {
-		str.tables[one.Table] = map[string]row{}
+		str.tables[one.Table] = map[[2]string]row{}
 	}
 	if one.Deleted {
-		delete(str.tables[one.Table], one.Key)
+		delete(str.tables[one.Table], [2]string{one.Part, one.Key})
 	} else {
-		str.tables[one.Table][one.Key] = one
+		str.tables[one.Table][[2]string{one.Part, one.Key}] = one
 	}
 	str.history = append(str.history, one)
 	close(str.changed)
@@ -82,8 +94,8 @@
 	}
 	str.mut.Lock()
 	rows, more := []row{}, false
-	for key, one := range str.tables[req.FormValue("table")] {
-		if key >= req.FormValue("from") && (req.FormValue("to") == "" || key < req.FormValue("to")) {
+	for at, one := range str.tables[req.FormValue("table")] {
+		if at[0] == req.FormValue("part") && at[1] >= req.FormValue("from") && (req.FormValue("to") == "" || at[1] < req.FormValue("to")) {
 			rows = append(rows, one)
 		}
 	}
@@ -147,10 +159,10 @@
 		}
 	}
 	for _, one := range txn.ExpectedRevision {
-		if str.tables[one.Table][one.Key].RowVersion != one.RowVersion {
+		if str.tables[one.Table][[2]string{one.Part, one.Key}].RowVersion != one.RowVersion {
 			rows := []row{}
 			for _, cnd := range txn.ExpectedRevision {
-				if now, fnd := str.tables[cnd.Table][cnd.Key]; fnd {
+				if now, fnd := str.tables[cnd.Table][[2]string{cnd.Part, cnd.Key}]; fnd {
 					rows = append(rows, now)
 				}
 			}
@@ -165,19 +177,9 @@
 		str.put(one)
 	}
 	for _, one := range txn.Remove {
-		str.put(row{Table: one.Table, Key: one.Key, Deleted: true})
+		str.put(row{Table: one.Table, Part: one.Part, Key: one.Key, Deleted: true})
 	}
 	version := str.version
 	str.mut.Unlock()
 	str.answer(wri, http.StatusOK, map[string]any{"rowVersion": version})
 }
-
-// contains reports whether a text holds one of some words.
-func contains(txt string, words ...string) bool {
-	for _, one := range words {
-		if strings.Contains(txt, one) {
-			return true
-		}
-	}
-	return false
-}
