--- a/review/standin-3/case_part.go
+++ b/review/standin-3/case_part.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-func init() { cases["part"] = casePart }
+func init() {
+	cases["part"] = func(rig *rig) (bool, error) { return casePart(rig, false) }
+	cases["late"] = func(rig *rig) (bool, error) { return casePart(rig, true) }
+}
 
 const (
 	// deadlyPart is the part of a prompt that crashes each server which begins to answer on it.
@@ -20,7 +23,7 @@
 
 // casePart sends requests with a part that crashes servers beside sound ones of the same route and key, and compares how often
 // the sound ones begin.
-func casePart(rig *rig) (bool, error) {
+func casePart(rig *rig, late bool) (bool, error) {
 	const key = "n2ctnfzs989anu6wsjnb"
 	tenants := []map[string]any{{"name": "hule930", "apiKeys": []string{key}}}
 	pool := service("huvo11a")
@@ -44,12 +47,16 @@
 			crashes = append(crashes, time.Now())
 		}
 	}
+	var extra []string
+	if late {
+		extra = []string{"--later", "450ms"}
+	}
 	over := make(chan struct{})
 	var keepers sync.WaitGroup
 	for num := range 3 {
 		id, adr := fmt.Sprintf("i-%d", num), freeAddress("127.0.0.1")
 		start := func() *proc {
-			return rig.startServer(id, "huvo11a", "east-a", adr, 64, "--deadly", deadlyPart, "--events", "57", "--work", "30ms")
+			return rig.startServer(id, "huvo11a", "east-a", adr, 64, append([]string{"--deadly", deadlyPart, "--events", "57", "--work", "30ms"}, extra...)...)
 		}
 		srv := start()
 		keepers.Add(1)
@@ -97,7 +104,7 @@
 	// Callers ask one of two questions again and again, and every fourth request is about something else.
 	began := time.Now()
 	for step := 0; time.Since(began) < 45*time.Second; step++ {
-		if question := step % 5; question < 4 {
+		if question := step % 5; question < 4 && !late {
 			question %= 2
 			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,e4402b%02d:250", question), fmt.Sprintf("question %d", question), true)
 		} else {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -23,6 +23,7 @@
 	work := set.Duration("work", 20*time.Millisecond, "time that a request takes")
 	slots := set.Int("slots", 64, "requests at once")
 	deadly := set.String("deadly", "", "part of a prompt at whose answer the server crashes")
+	later := set.Duration("later", 0, "time from the first event of a deadly answer to the crash")
 	events := set.Int("events", 0, "events of a stream; zero for plain answers")
 	_ = set.Parse(args)
 	places := make(chan struct{}, *slots)
@@ -71,6 +72,12 @@
 			left = time.Duration(num * float64(time.Millisecond))
 		}
 		if *deadly != "" && strings.Contains(req.Header.Get("Prompt-Prefix"), *deadly+":") {
+			if *later > 0 {
+				hdr.Set("Server-Signature", "s."+*id)
+				time.AfterFunc(*work+*later, func() { say("crash %s", attempt); os.Exit(3) })
+				stream(wri, req, attempt, *events, *work)
+				return
+			}
 			time.Sleep(*work)
 			say("crash %s", attempt)
 			os.Exit(3)
