--- a/review/standin-3/case_part.go
+++ b/review/standin-3/case_part.go
@@ -101,19 +101,19 @@
 				map[string]string{"Model": "m", "Token-Usage": "1460,170", "Prompt-Prefix": prefix}, body)
 		}()
 	}
-	// Callers ask one of two questions again and again, and every fourth request is about something else.
+	// Callers ask one of six questions again and again, and every tenth request is about something else.
 	began := time.Now()
 	for step := 0; time.Since(began) < 45*time.Second; step++ {
-		if question := step % 5; question < 4 && !late {
-			question %= 2
+		if question := step % 20; question < 18 && !late {
+			question %= 6
 			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,e4402b%02d:250", question), fmt.Sprintf("question %d", question), true)
 		} else {
 			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,f%07d:250", step), fmt.Sprintf("another question %d", step), true)
 		}
-		if rig.trouble && time.Since(began) > 10*time.Second && step%8 == 0 {
+		if rig.trouble && time.Since(began) > 10*time.Second && step%12 == 0 {
 			call(fmt.Sprintf("77aa0b1c:800,%s:410,a%07d:250", deadlyPart, step), fmt.Sprintf("broken question %d", step), false)
 		}
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(30 * time.Millisecond)
 	}
 	wg.Wait()
 	close(over)
