--- a/review/standin-3/case_part.go
+++ b/review/standin-3/case_part.go
@@ -8,8 +8,9 @@
 )
 
 func init() {
-	cases["part"] = func(rig *rig) (bool, error) { return casePart(rig, false) }
-	cases["late"] = func(rig *rig) (bool, error) { return casePart(rig, true) }
+	cases["part"] = func(rig *rig) (bool, error) { return casePart(rig, 3, false) }
+	cases["late"] = func(rig *rig) (bool, error) { return casePart(rig, 3, true, "--later", "450ms") }
+	cases["dying"] = func(rig *rig) (bool, error) { return casePart(rig, 9, true, "--dying", "20ms") }
 }
 
 const (
@@ -23,7 +24,7 @@
 
 // casePart sends requests with a part that crashes servers beside sound ones of the same route and key, and compares how often
 // the sound ones begin.
-func casePart(rig *rig, late bool) (bool, error) {
+func casePart(rig *rig, servers int, unlike bool, extra ...string) (bool, error) {
 	const key = "n2ctnfzs989anu6wsjnb"
 	tenants := []map[string]any{{"name": "hule930", "apiKeys": []string{key}}}
 	pool := service("huvo11a")
@@ -37,26 +38,28 @@
 	var mut sync.Mutex
 	begun := map[string]bool{}
 	var crashes []time.Time
+	arrived := map[string]time.Time{}
 	rig.onLine = func(_, line string) {
 		mut.Lock()
 		defer mut.Unlock()
 		switch wrd := strings.Fields(line); wrd[0] {
 		case "run":
 			begun[wrd[1]] = true
+			arrived[wrd[1]] = time.Now()
 		case "crash":
 			crashes = append(crashes, time.Now())
 		}
 	}
-	var extra []string
-	if late {
-		extra = []string{"--later", "450ms"}
-	}
 	over := make(chan struct{})
 	var keepers sync.WaitGroup
-	for num := range 3 {
-		id, adr := fmt.Sprintf("i-%d", num), freeAddress("127.0.0.1")
+	zones := []string{"east-a", "north-a", "east-b"}
+	for num := range servers {
+		id, adr, zone := fmt.Sprintf("i-%d", num), freeAddress("127.0.0.1"), "east-a"
+		if servers > len(zones) {
+			zone = zones[num%len(zones)]
+		}
 		start := func() *proc {
-			return rig.startServer(id, "huvo11a", "east-a", adr, 64, append([]string{"--deadly", deadlyPart, "--events", "57", "--work", "30ms"}, extra...)...)
+			return rig.startServer(id, "huvo11a", zone, adr, 64, append([]string{"--deadly", deadlyPart, "--events", "57", "--work", "30ms"}, extra...)...)
 		}
 		srv := start()
 		keepers.Add(1)
@@ -86,31 +89,42 @@
 		id   string
 		sent time.Time
 	}
-	var sounds []sound
-	num := 0
+	var sounds, deadly []sound
+	num, cut := 0, 0
 	call := func(prefix, body string, ok bool) {
 		num++
 		id, front := fmt.Sprintf("%016x", num), nods[num%len(nods)].front
 		if ok {
 			sounds = append(sounds, sound{id, time.Now()})
+		} else {
+			deadly = append(deadly, sound{id, time.Now()})
 		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			rig.send(front, "POST", "/lohu930/2f", id, key, 10*time.Second,
+			rep := rig.send(front, "POST", "/lohu930/2f", id, key, 10*time.Second,
 				map[string]string{"Model": "m", "Token-Usage": "1460,170", "Prompt-Prefix": prefix}, body)
+			mut.Lock()
+			defer mut.Unlock()
+			if ok && rep.status != 200 && begun[id] {
+				cut++
+			}
 		}()
 	}
 	// Callers ask one of six questions again and again, and every tenth request is about something else.
+	every := 12
+	if servers > 3 {
+		every = 20
+	}
 	began := time.Now()
 	for step := 0; time.Since(began) < 45*time.Second; step++ {
-		if question := step % 20; question < 18 && !late {
+		if question := step % 20; question < 18 && !unlike {
 			question %= 6
 			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,e4402b%02d:250", question), fmt.Sprintf("question %d", question), true)
 		} else {
 			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,f%07d:250", step), fmt.Sprintf("another question %d", step), true)
 		}
-		if rig.trouble && time.Since(began) > 10*time.Second && step%12 == 0 {
+		if rig.trouble && time.Since(began) > 10*time.Second && step%every == 0 {
 			call(fmt.Sprintf("77aa0b1c:800,%s:410,a%07d:250", deadlyPart, step), fmt.Sprintf("broken question %d", step), false)
 		}
 		time.Sleep(30 * time.Millisecond)
@@ -143,6 +157,17 @@
 	rig.note("%d crashes; sound requests before: %d of %d begun; from %.1f s on: %d of %d begun", len(crashes), beforeBegun, before,
 		from.Sub(rig.began).Seconds(), afterBegun, after)
 	fmt.Printf("%d crashes; sound before %d/%d, after %d/%d\n", len(crashes), beforeBegun, before, afterBegun, after)
+	if servers > 3 {
+		late := 0
+		for _, one := range deadly {
+			if num := len(crashes); num >= 5 && one.sent.After(crashes[4].Add(stableWindow)) && begun[one.id] && arrived[one.id].After(crashes[4].Add(stableWindow)) {
+				late++
+			}
+		}
+		rig.note("%d requests with the deadly part reached servers later than stableWindowMs after the fifth crash; %d sound ones that had begun were cut", late, cut)
+		fmt.Printf("late requests with the deadly part at servers: %d; sound ones cut: %d\n", late, cut)
+		return late <= 3, nil
+	}
 	if before < 20 || after < 20 {
 		return false, fmt.Errorf("too few requests")
 	}
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -24,6 +24,7 @@
 	slots := set.Int("slots", 64, "requests at once")
 	deadly := set.String("deadly", "", "part of a prompt at whose answer the server crashes")
 	later := set.Duration("later", 0, "time from the first event of a deadly answer to the crash")
+	dying := set.Duration("dying", 0, "time from the end of a deadly request's channel to the end of the process")
 	events := set.Int("events", 0, "events of a stream; zero for plain answers")
 	_ = set.Parse(args)
 	places := make(chan struct{}, *slots)
@@ -72,6 +73,12 @@
 			left = time.Duration(num * float64(time.Millisecond))
 		}
 		if *deadly != "" && strings.Contains(req.Header.Get("Prompt-Prefix"), *deadly+":") {
+			if *dying > 0 {
+				time.Sleep(*work)
+				say("crash %s", attempt)
+				time.AfterFunc(*dying, func() { os.Exit(3) })
+				panic(http.ErrAbortHandler)
+			}
 			if *later > 0 {
 				hdr.Set("Server-Signature", "s."+*id)
 				time.AfterFunc(*work+*later, func() { say("crash %s", attempt); os.Exit(3) })
