--- a/review/standin-3/case_split.go
+++ b/review/standin-3/case_split.go
@@ -10,18 +10,22 @@
 func init() { cases["split"] = caseSplit }
 
 func route(name, prefix, kind, service string, timeout, target, attempts int, public bool) map[string]any {
-	return map[string]any{"name": name, "hostname": hostName, "prefix": prefix, "routeType": kind, "timeoutMs": timeout, "targetLatencyMs": target,
-		"priority": 2, "service": service, "maxAttempts": attempts, "public": public, "sessionAffinity": false}
+	return map[string]any{
+		"name": name, "hostname": hostName, "prefix": prefix, "routeType": kind, "timeoutMs": timeout, "targetLatencyMs": target,
+		"priority": 2, "service": service, "maxAttempts": attempts, "public": public, "sessionAffinity": false,
+	}
 }
 
 func service(name string) map[string]any {
 	return map[string]any{"name": name, "healthCheckPath": "/healthz", "maxConnections": 96, "protocol": "h1", "tls": false}
 }
 
-func manifest(version int, routes, services []map[string]any, tenants []map[string]any) []byte {
-	return mustJSON(map[string]any{"version": version, "routes": routes, "services": services,
+func manifest(version int, routes, services, tenants []map[string]any) []byte {
+	return mustJSON(map[string]any{
+		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": tenants})
+		"tenants": tenants,
+	})
 }
 
 func caseSplit(rig *rig) (bool, error) {
