--- a/review/standin-3/case_burst.go
+++ b/review/standin-3/case_burst.go
@@ -98,11 +98,11 @@
 		call(fmt.Sprintf("77aa0b%02x:800,91bd3f06:410,f%07d:250", step%12, step), false)
 		if rig.trouble && time.Since(began) > time.Duration(5+5*bursts)*time.Second && bursts < 5 {
 			bursts++
-			for one := range 12 {
+			for one := range 8 {
 				call(fmt.Sprintf("77aa0b%02x:800,%s:410,a%03d%04d:250", one, deadlyPart, bursts, one), true)
 			}
 		}
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(callPause)
 	}
 	wg.Wait()
 	close(over)
--- a/review/standin-3/case_foreign.go
+++ b/review/standin-3/case_foreign.go
@@ -18,6 +18,8 @@
 	drainTime = 3 * time.Second
 	// leavingTime is how long a server goes on after its entry was removed: drainMs and some seconds.
 	leavingTime = 8 * time.Second
+	// orderPause is the time between two orders: the sheet has 7.74 a second.
+	orderPause = 129 * time.Millisecond
 )
 
 // caseForeign removes the entry of a server that leaves, and lets another writer put an entry with fields missing in its place, or a
@@ -53,7 +55,7 @@
 	sent := map[string]time.Time{}
 	cut, num := 0, 0
 	run := func(dur time.Duration) {
-		for end := time.Now().Add(dur); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+		for end := time.Now().Add(dur); time.Now().Before(end); time.Sleep(orderPause) {
 			num++
 			id, front := fmt.Sprintf("%016x", num), nods[num%len(nods)].front
 			mut.Lock()
--- a/review/standin-3/case_part.go
+++ b/review/standin-3/case_part.go
@@ -8,14 +8,42 @@
 )
 
 func init() {
-	cases["part"] = func(rig *rig) (bool, error) { return casePart(rig, 3, false) }
-	cases["late"] = func(rig *rig) (bool, error) { return casePart(rig, 3, true, "--later", "450ms") }
-	cases["dying"] = func(rig *rig) (bool, error) { return casePart(rig, 9, true, "--dying", "20ms") }
+	steady := []time.Duration{0}
+	cases["part"] = func(rig *rig) (bool, error) {
+		return casePart(rig, partCase{rule: "LOST", servers: 3, period: 2 * time.Second, offsets: []time.Duration{0, 150 * time.Millisecond, 300 * time.Millisecond}})
+	}
+	cases["channels"] = func(rig *rig) (bool, error) {
+		return casePart(rig, partCase{rule: "BUDGET", servers: 9, period: 680 * time.Millisecond, offsets: steady, unlike: true, idleChannels: 320})
+	}
+	cases["late"] = func(rig *rig) (bool, error) {
+		return casePart(rig, partCase{rule: "BUDGET", servers: 9, period: 680 * time.Millisecond, offsets: steady, unlike: true, crash: []string{"--later", "450ms"}})
+	}
+}
+
+// partCase is a case with a deadly part.
+type partCase struct {
+	// rule is the one that is checked, LOST or BUDGET.
+	rule    string
+	servers int
+	// Requests with the deadly part come once in each period at each of the offsets, from deadlyFrom on.
+	period  time.Duration
+	offsets []time.Duration
+	// unlike is set if no two sound requests are alike.
+	unlike bool
+	// idleChannels is the number of channels that other callers keep open to each server.
+	idleChannels int
+	// crash holds the options for the way in which a server crashes.
+	crash []string
 }
 
 const (
 	// deadlyPart is the part of a prompt that crashes each server which begins to answer on it.
 	deadlyPart = "5c1e07a2"
+	// deadlyFrom is the time from the begin of the sound requests to the first with the deadly part, and callTime that to the last request.
+	deadlyFrom = 10 * time.Second
+	callTime   = 45 * time.Second
+	// callPause is the time between two sound requests: the sheet has 31 streams a second.
+	callPause = 32 * time.Millisecond
 	// downTime is how long a crashed server is away.
 	downTime = 2 * time.Second
 	// stableWindow is the bound stableWindowMs of the small deployments.
@@ -24,7 +52,8 @@
 
 // casePart sends requests with a part that crashes servers beside sound ones of the same route and key, and compares how often
 // the sound ones begin.
-func casePart(rig *rig, servers int, unlike bool, extra ...string) (bool, error) {
+func casePart(rig *rig, cas partCase) (bool, error) {
+	rig.idleChannels = cas.idleChannels
 	const key = "n2ctnfzs989anu6wsjnb"
 	tenants := []map[string]any{{"name": "hule930", "apiKeys": []string{key}}}
 	pool := service("huvo11a")
@@ -55,13 +84,10 @@
 	over := make(chan struct{})
 	var keepers sync.WaitGroup
 	zones := []string{"east-a", "north-a", "east-b"}
-	for num := range servers {
-		id, adr, zone := fmt.Sprintf("i-%d", num), freeAddress("127.0.0.1"), "east-a"
-		if servers > len(zones) {
-			zone = zones[num%len(zones)]
-		}
+	for num := range cas.servers {
+		id, adr, zone := fmt.Sprintf("i-%d", num), freeAddress("127.0.0.1"), zones[num%len(zones)]
 		start := func() *proc {
-			return rig.startServer(id, "huvo11a", zone, adr, 64, append([]string{"--deadly", deadlyPart, "--events", "57", "--work", "30ms"}, extra...)...)
+			return rig.startServer(id, "huvo11a", zone, adr, 64, append([]string{"--deadly", deadlyPart, "--events", "57", "--work", "30ms"}, cas.crash...)...)
 		}
 		srv := start()
 		keepers.Add(1)
@@ -114,22 +140,20 @@
 		}()
 	}
 	// Callers ask one of six questions again and again, and every tenth request is about something else.
-	every := 12
-	if servers > 3 {
-		every = 20
-	}
-	began := time.Now()
-	for step := 0; time.Since(began) < 45*time.Second; step++ {
-		if question := step % 20; question < 18 && !unlike {
+	began, crashing := time.Now(), 0
+	for step := 0; time.Since(began) < callTime; step++ {
+		if question := step % 20; question < 18 && !cas.unlike {
 			question %= 6
 			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,e4402b%02d:250", question), fmt.Sprintf("question %d", question), true)
 		} else {
 			call(fmt.Sprintf("77aa0b1c:800,91bd3f06:410,f%07d:250", step), fmt.Sprintf("another question %d", step), true)
 		}
-		if rig.trouble && time.Since(began) > 10*time.Second && step%every == 0 {
+		next := deadlyFrom + time.Duration(crashing/len(cas.offsets))*cas.period + cas.offsets[crashing%len(cas.offsets)]
+		if rig.trouble && time.Since(began) >= next {
+			crashing++
 			call(fmt.Sprintf("77aa0b1c:800,%s:410,a%07d:250", deadlyPart, step), fmt.Sprintf("broken question %d", step), false)
 		}
-		time.Sleep(30 * time.Millisecond)
+		time.Sleep(callPause)
 	}
 	wg.Wait()
 	close(over)
@@ -137,14 +161,14 @@
 
 	mut.Lock()
 	defer mut.Unlock()
-	from := began.Add(10 * time.Second)
+	from := began.Add(deadlyFrom)
 	if num := len(crashes); num > 0 {
 		from = crashes[min(num, 5)-1].Add(2 * stableWindow)
 	}
 	var before, beforeBegun, after, afterBegun int
 	for _, one := range sounds {
 		switch {
-		case one.sent.Before(began.Add(9 * time.Second)):
+		case one.sent.Before(began.Add(deadlyFrom - time.Second)):
 			before++
 			if begun[one.id] {
 				beforeBegun++
@@ -159,7 +183,9 @@
 	rig.note("%d crashes; sound requests before: %d of %d begun; from %.1f s on: %d of %d begun", len(crashes), beforeBegun, before,
 		from.Sub(rig.began).Seconds(), afterBegun, after)
 	fmt.Printf("%d crashes; sound before %d/%d, after %d/%d\n", len(crashes), beforeBegun, before, afterBegun, after)
-	if servers > 3 {
+	share := float64(len(deadly)) / float64(len(deadly)+len(sounds)) * callTime.Seconds() / (callTime - deadlyFrom).Seconds()
+	rig.note("%d requests with the deadly part, a share of %.3f while they came", len(deadly), share)
+	if cas.rule == "BUDGET" {
 		late := 0
 		for _, one := range deadly {
 			if num := len(crashes); num >= 5 && one.sent.After(crashes[4].Add(stableWindow)) && begun[one.id] && arrived[one.id].After(crashes[4].Add(stableWindow)) {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,9 +5,14 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
+// runTime is the longest time that a case may take.
+const runTime = 110 * time.Second
+
 // cases maps the names of cases to their functions, which report whether the rule held. An error means that the case couldn't run.
 var cases = map[string]func(rig *rig) (held bool, err error){}
 
@@ -39,10 +44,16 @@
 			code = 2
 		}
 	}()
-	time.AfterFunc(110*time.Second, func() {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(runTime):
+		}
 		rig.close()
 		os.Exit(2)
-	})
+	}()
 	one := cases[name]
 	if one == nil {
 		fmt.Fprintln(os.Stderr, "no case", name)
--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -30,9 +30,11 @@
 type rig struct {
 	dir, binary, self string
 	trouble           bool
-	began             time.Time
-	store             *store
-	storeAddress      string
+	// idleChannels is the number of channels that other callers keep open to each server.
+	idleChannels int
+	began        time.Time
+	store        *store
+	storeAddress string
 
 	mut    sync.Mutex
 	record *os.File
@@ -152,6 +154,17 @@
 	prc := rig.start(id, true, argv...)
 	born := time.Now().UnixMilli()
 	await(func() bool { con, err := net.Dial("tcp", address); return err == nil && con.Close() == nil }, 3*time.Second)
+	for range rig.idleChannels {
+		con, err := net.Dial("tcp", address)
+		if err != nil {
+			break
+		}
+		go func() {
+			// The channel ends with the server.
+			_, _ = con.Read(make([]byte, 1))
+			_ = con.Close()
+		}()
+	}
 	rig.store.set("servers", id, mustJSON(map[string]any{
 		"service": service, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
 		"warmupLeftMs": 0, "born": born, "sequence": 1,
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -24,7 +25,7 @@
 	slots := set.Int("slots", 64, "requests at once")
 	deadly := set.String("deadly", "", "part of a prompt at whose answer the server crashes")
 	later := set.Duration("later", 0, "time from the first event of a deadly answer to the crash")
-	dying := set.Duration("dying", 0, "time from the end of a deadly request's channel to the end of the process")
+	length := set.String("length", "", "length that a plain answer states; empty for the true one")
 	events := set.Int("events", 0, "events of a stream; zero for plain answers")
 	_ = set.Parse(args)
 	places := make(chan struct{}, *slots)
@@ -61,24 +62,24 @@
 			return
 		}
 		defer func() { <-queue }()
+		left := time.Hour
+		if num, err := strconv.ParseFloat(req.Header.Get("Deadline-Ms"), 64); err == nil {
+			left = time.Duration(num * float64(time.Millisecond))
+		}
+		end := time.Now().Add(left)
 		select {
 		case places <- struct{}{}:
+		case <-time.After(left):
+			hdr.Set("Not-Executed", "1")
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
 		case <-req.Context().Done():
 			return
 		}
 		defer func() { <-places }()
 		say("run %s %s %s tenant=%s body=%d", attempt, req.Method, req.RequestURI, req.Header.Get("Tenant"), len(body))
-		left := time.Hour
-		if num, err := strconv.ParseFloat(req.Header.Get("Deadline-Ms"), 64); err == nil {
-			left = time.Duration(num * float64(time.Millisecond))
-		}
+		left = time.Until(end)
 		if *deadly != "" && strings.Contains(req.Header.Get("Prompt-Prefix"), *deadly+":") {
-			if *dying > 0 {
-				time.Sleep(*work)
-				say("crash %s", attempt)
-				time.AfterFunc(*dying, func() { os.Exit(3) })
-				panic(http.ErrAbortHandler)
-			}
 			if *later > 0 {
 				hdr.Set("Server-Signature", "s."+*id)
 				time.AfterFunc(*work+*later, func() { say("crash %s", attempt); os.Exit(3) })
@@ -91,7 +92,10 @@
 		}
 		if *events > 0 {
 			hdr.Set("Server-Signature", "s."+*id)
-			stream(wri, req, attempt, *events, *work)
+			hdr.Set("Weight-Versions", "1")
+			ctx, cancel := context.WithTimeout(req.Context(), left)
+			defer cancel()
+			stream(wri, req.WithContext(ctx), attempt, *events, *work)
 			say("done %s", attempt)
 			return
 		}
@@ -108,6 +112,15 @@
 		}
 		hdr.Set("Server-Signature", "s."+*id)
 		hdr.Set("Content-Type", "text/plain")
+		if *length != "" {
+			con, _, err := http.NewResponseController(wri).Hijack()
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: s.%s\r\nContent-Length: %s\r\n\r\nx", attempt, *id, *length)
+			_ = con.Close()
+			return
+		}
 		var buf bytes.Buffer
 		fmt.Fprintf(&buf, "%s answered by %s %s", attempt, *id, strings.Repeat("x", 700))
 		hdr.Set("Content-Length", strconv.Itoa(buf.Len()))
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -72,7 +72,12 @@
 	str.changed = make(chan struct{})
 }
 
+// answerTime is how long the store takes for an answer.
+const answerTime = 4 * time.Millisecond
+
 func (str *store) answer(wri http.ResponseWriter, status int, body map[string]any) {
+	time.Sleep(answerTime)
+	wri.Header().Set("Store-Era", "1")
 	body["nowMs"] = 1 + time.Since(str.began).Milliseconds()
 	wri.Header().Set("Content-Type", "application/json")
 	wri.WriteHeader(status)
